--- /dev/null
+++ b/crates/core/src/fleet/config.rs
@@ -0,0 +1,138 @@
+//! Configuration: declarations, access keys and availability zones.
+
+use super::{AccessKey, Effect, Fleet, Pool, Team, VoidReason, WorkerState, Zone, ZoneState};
+use crate::declaration::{Declaration, Defaults};
+use crate::ids::{KeyId, PoolId, TeamId, ZoneId};
+use crate::record::KeyHash;
+
+impl Fleet {
+    pub(super) fn configure(&mut self, base: u64, declaration: &Declaration) -> Result<Effect, VoidReason> {
+        if base != self.version {
+            return Err(VoidReason::Conflict { base, current: self.version });
+        }
+        if let Some(problem) = declaration.validate().first() {
+            return Err(VoidReason::Invalid(problem.to_string()));
+        }
+        self.check_removed_pools(declaration)?;
+        self.update_teams(declaration);
+        self.update_pools(declaration);
+        self.declaration = declaration.clone();
+        self.version += 1;
+        Ok(Effect::Configured(self.version))
+    }
+
+    fn check_removed_pools(&self, declaration: &Declaration) -> Result<(), VoidReason> {
+        for worker in self.workers.values().filter(|w| w.state != WorkerState::Lost) {
+            let name = &self.pools[&worker.pool].name;
+            if !declaration.pools.contains_key(name) {
+                return Err(VoidReason::Invalid(format!("pool {name} still has workers")));
+            }
+        }
+        Ok(())
+    }
+
+    fn update_teams(&mut self, declaration: &Declaration) {
+        for team in self.teams.values_mut() {
+            team.share = 0;
+            team.limit = 0;
+        }
+        for (name, declared) in &declaration.teams {
+            let id = self.team(name).unwrap_or_else(|| TeamId(next_key(self.teams.len())));
+            let team = Team { name: name.clone(), share: declared.share, limit: declared.limit };
+            self.teams.insert(id, team);
+        }
+    }
+
+    fn update_pools(&mut self, declaration: &Declaration) {
+        for pool in self.pools.values_mut() {
+            pool.min_serving = 0;
+            pool.open = None;
+        }
+        for (name, declared) in &declaration.pools {
+            let id = self.pool(name).unwrap_or_else(|| PoolId(next_key(self.pools.len())));
+            let open = if declared.open { declared.open_team.as_deref() } else { None };
+            let pool = Pool {
+                name: name.clone(),
+                min_serving: declaration.min_serving(name),
+                open: open.and_then(|team| self.team(team)),
+                spare: declared.spare,
+            };
+            self.pools.insert(id, pool);
+        }
+    }
+
+    /// Value of a default for a pool and a team, exceptions included.
+    #[must_use]
+    pub fn default_for(&self, pool: PoolId, team: TeamId, field: fn(&Defaults) -> u64, name: &str) -> u64 {
+        let pool = self.pools.get(&pool).map_or("", |p| &p.name);
+        let team = self.teams.get(&team).map_or("", |t| &t.name);
+        let exception = self.declaration.exception(name, pool, team);
+        exception.unwrap_or_else(|| field(&self.declaration.defaults))
+    }
+
+    pub(super) fn grant_key(&mut self, team: &str, hash: KeyHash) -> Result<Effect, VoidReason> {
+        let team = self.team(team).ok_or(VoidReason::Unknown("team"))?;
+        if self.hashes.contains_key(&hash) {
+            return Err(VoidReason::KeyExists);
+        }
+        let id = KeyId(next_key(self.keys.len()));
+        self.keys.insert(id, AccessKey { hash, team, withdrawn: false });
+        self.hashes.insert(hash, id);
+        Ok(Effect::Key(id))
+    }
+
+    pub(super) fn withdraw_key(&mut self, id: KeyId) -> Result<Effect, VoidReason> {
+        let key = self.keys.get_mut(&id).ok_or(VoidReason::Unknown("key"))?;
+        key.withdrawn = true;
+        Ok(Effect::Key(id))
+    }
+
+    /// Removes a zone, unless a pool would keep fewer serving workers than its budget.
+    pub(super) fn remove_zone(&mut self, name: &str, base: u64) -> Result<Effect, VoidReason> {
+        let id = self.check_zone(name, base, ZoneState::InService)?;
+        for pool in self.pools.keys() {
+            self.check_budget(*pool, |worker| worker.zone != id)?;
+        }
+        Ok(self.set_zone(id, ZoneState::Removed))
+    }
+
+    pub(super) fn restore_zone(&mut self, name: &str, base: u64) -> Result<Effect, VoidReason> {
+        let id = self.check_zone(name, base, ZoneState::Removed)?;
+        Ok(self.set_zone(id, ZoneState::InService))
+    }
+
+    fn check_zone(&self, name: &str, base: u64, expected: ZoneState) -> Result<ZoneId, VoidReason> {
+        let id = self.zone(name).ok_or(VoidReason::Unknown("availability zone"))?;
+        let zone = &self.zones[&id];
+        if zone.version != base {
+            return Err(VoidReason::Conflict { base, current: zone.version });
+        }
+        if zone.state != expected {
+            return Err(VoidReason::State);
+        }
+        Ok(id)
+    }
+
+    fn set_zone(&mut self, id: ZoneId, state: ZoneState) -> Effect {
+        let Some(zone) = self.zones.get_mut(&id) else {
+            return Effect::Done;
+        };
+        zone.state = state;
+        zone.version += 1;
+        Effect::Zone(zone.version)
+    }
+
+    pub(super) fn zone_or_new(&mut self, name: &str) -> ZoneId {
+        if let Some(id) = self.zone(name) {
+            return id;
+        }
+        let id = ZoneId(next_key(self.zones.len()));
+        self.zones.insert(id, Zone { name: name.to_owned(), version: 0, state: ZoneState::InService });
+        id
+    }
+}
+
+/// Next key of a table that never drops rows; keys start at 1.
+pub(super) fn next_key(rows: usize) -> u32 {
+    u32::try_from(rows).unwrap_or(u32::MAX).saturating_add(1)
+}
--- /dev/null
+++ b/crates/core/src/fleet/holds.rs
@@ -0,0 +1,82 @@
+//! Escrow of teams' upper limits.
+//!
+//! The limit of a team is split into holds. Only the holder gives a part away, after it lowered its own use; a part
+//! of a member that is gone returns by a reclaim record.
+
+use super::{Effect, Fleet, MemberState, VoidReason};
+use crate::ids::{MemberId, TeamId};
+
+impl Fleet {
+    /// Sum of all holds of a team, in slots. Above the limit only while holders shrink after the limit was lowered.
+    #[must_use]
+    pub fn held(&self, team: TeamId) -> u32 {
+        let first = (team, MemberId(0));
+        let last = (team, MemberId(u64::MAX));
+        self.holds.range(first..=last).map(|(_, slots)| slots).sum()
+    }
+
+    /// Part of the team's limit that nobody holds, in slots.
+    #[must_use]
+    pub fn unheld(&self, team: TeamId) -> u32 {
+        let limit = self.teams.get(&team).map_or(0, |t| t.limit);
+        limit.saturating_sub(self.held(team))
+    }
+
+    pub(super) fn claim(&mut self, author: MemberId, team: &str, slots: u32) -> Result<Effect, VoidReason> {
+        let team = self.team(team).ok_or(VoidReason::Unknown("team"))?;
+        let granted = slots.min(self.unheld(team));
+        if granted > 0 {
+            *self.holds.entry((team, author)).or_default() += granted;
+        }
+        Ok(Effect::Granted(team, granted))
+    }
+
+    pub(super) fn give(
+        &mut self,
+        author: MemberId,
+        team: &str,
+        to: MemberId,
+        slots: u32,
+    ) -> Result<Effect, VoidReason> {
+        let team = self.team(team).ok_or(VoidReason::Unknown("team"))?;
+        if self.members.get(&to).is_none_or(|m| m.state != MemberState::Live) {
+            return Err(VoidReason::Unknown("member"));
+        }
+        self.take_hold(author, team, slots)?;
+        *self.holds.entry((team, to)).or_default() += slots;
+        Ok(Effect::Done)
+    }
+
+    pub(super) fn release(&mut self, author: MemberId, team: &str, slots: u32) -> Result<Effect, VoidReason> {
+        let team = self.team(team).ok_or(VoidReason::Unknown("team"))?;
+        self.take_hold(author, team, slots)?;
+        Ok(Effect::Done)
+    }
+
+    fn take_hold(&mut self, author: MemberId, team: TeamId, slots: u32) -> Result<(), VoidReason> {
+        let held = self.hold(team, author);
+        if held < slots {
+            return Err(VoidReason::HoldTooSmall { held });
+        }
+        if held == slots {
+            self.holds.remove(&(team, author));
+        } else {
+            self.holds.insert((team, author), held - slots);
+        }
+        Ok(())
+    }
+
+    /// Frees the holds of a gone member. The author waited until no work of that member can run.
+    pub(super) fn reclaim(&mut self, id: MemberId) -> Result<Effect, VoidReason> {
+        let member = self.members.get(&id).ok_or(VoidReason::Unknown("member"))?;
+        if !matches!(member.state, MemberState::Gone(_)) {
+            return Err(VoidReason::State);
+        }
+        self.drop_holds(id);
+        Ok(Effect::Done)
+    }
+
+    pub(super) fn drop_holds(&mut self, id: MemberId) {
+        self.holds.retain(|(_, holder), _| *holder != id);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/tasks.rs
@@ -0,0 +1,152 @@
+//! Accepted tasks: every change of a task's life is a record of its owner.
+
+use super::{Effect, Fleet, Task, TaskState, VoidReason};
+use crate::ids::{MemberId, Offset, TaskId, TeamId, WorkerId};
+use crate::record::{StopProof, TaskAccepted, TaskOutcome};
+
+impl Fleet {
+    /// Accepts a task. A token that was used before returns the first task.
+    pub(super) fn accept_task(
+        &mut self,
+        author: MemberId,
+        accepted: &TaskAccepted,
+    ) -> Result<Effect, VoidReason> {
+        let team = self.team(&accepted.team).ok_or(VoidReason::Unknown("team"))?;
+        let pool = self.pool(&accepted.pool).ok_or(VoidReason::Unknown("pool"))?;
+        let id = TaskId { member: author, number: accepted.number };
+        if let Some(first) = self.find_token(team, accepted.token.as_ref()) {
+            return Ok(Effect::Task(first));
+        }
+        if self.tasks.contains_key(&id) {
+            return Err(VoidReason::State);
+        }
+        if let Some(token) = &accepted.token {
+            self.tokens.insert((team, token.clone()), id);
+        }
+        let task = Task {
+            owner: author,
+            team,
+            pool,
+            token: accepted.token.clone(),
+            idempotent: accepted.idempotent,
+            class: accepted.class,
+            payload: accepted.payload.clone(),
+            attempts: 0,
+            failed: Vec::new(),
+            cancelled: false,
+            state: TaskState::Waiting,
+        };
+        self.tasks.insert(id, task);
+        Ok(Effect::Task(id))
+    }
+
+    fn find_token(&self, team: TeamId, token: Option<&String>) -> Option<TaskId> {
+        self.tokens.get(&(team, token?.clone())).copied()
+    }
+
+    /// Notes a start. The record precedes the dispatch of a non-idempotent task.
+    pub(super) fn start_task(
+        &mut self,
+        author: MemberId,
+        id: TaskId,
+        attempt: u32,
+        worker: WorkerId,
+    ) -> Result<Effect, VoidReason> {
+        let row = self.workers.get(&worker).ok_or(VoidReason::Unknown("worker"))?;
+        let takes_work = self.takes_work(row);
+        let task = self.owned_task(author, id)?;
+        let startable = task.state == TaskState::Waiting && !task.cancelled && attempt == task.attempts + 1;
+        if !startable || !takes_work {
+            return Err(VoidReason::State);
+        }
+        task.attempts = attempt;
+        task.state = TaskState::Started { attempt, worker };
+        Ok(Effect::Task(id))
+    }
+
+    /// Lets a task wait again after its attempt is proven to have stopped. A cancelled task ends instead.
+    pub(super) fn requeue_task(
+        &mut self,
+        offset: Offset,
+        author: MemberId,
+        id: TaskId,
+        attempt: u32,
+        proof: StopProof,
+    ) -> Result<Effect, VoidReason> {
+        let task = self.owned_task(author, id)?;
+        let TaskState::Started { attempt: started, worker } = task.state else {
+            return Err(VoidReason::State);
+        };
+        let proven = proof != StopProof::WorkerLost || task.idempotent;
+        if started != attempt || !proven {
+            return Err(VoidReason::State);
+        }
+        if proof == StopProof::Failed && !task.failed.contains(&worker) {
+            task.failed.push(worker);
+        }
+        task.state = TaskState::Waiting;
+        if task.cancelled {
+            self.set_ended(offset, id, TaskOutcome::Cancelled);
+        }
+        Ok(Effect::Task(id))
+    }
+
+    pub(super) fn end_task(
+        &mut self,
+        offset: Offset,
+        author: MemberId,
+        id: TaskId,
+        attempt: u32,
+        outcome: &TaskOutcome,
+    ) -> Result<Effect, VoidReason> {
+        let task = self.owned_task(author, id)?;
+        let current = match task.state {
+            TaskState::Waiting => attempt == task.attempts || attempt == 0,
+            TaskState::Started { attempt: started, .. } => attempt == started,
+            TaskState::Ended { .. } => false,
+        };
+        if !current {
+            return Err(VoidReason::State);
+        }
+        self.set_ended(offset, id, outcome.clone());
+        Ok(Effect::Task(id))
+    }
+
+    /// Cancels a task: a waiting one ends, a started one ends when its owner has stopped it.
+    pub(super) fn cancel_task(&mut self, offset: Offset, id: TaskId) -> Result<Effect, VoidReason> {
+        let task = self.tasks.get_mut(&id).ok_or(VoidReason::Unknown("task"))?;
+        match task.state {
+            TaskState::Waiting => self.set_ended(offset, id, TaskOutcome::Cancelled),
+            TaskState::Started { .. } => task.cancelled = true,
+            TaskState::Ended { .. } => return Err(VoidReason::State),
+        }
+        Ok(Effect::Task(id))
+    }
+
+    fn owned_task(&mut self, author: MemberId, id: TaskId) -> Result<&mut Task, VoidReason> {
+        let task = self.tasks.get_mut(&id).ok_or(VoidReason::Unknown("task"))?;
+        if task.owner == author { Ok(task) } else { Err(VoidReason::State) }
+    }
+
+    fn set_ended(&mut self, offset: Offset, id: TaskId, outcome: TaskOutcome) {
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.state = TaskState::Ended { outcome, at: offset };
+            task.payload = Vec::new();
+            self.ended.push_back(id);
+        }
+        self.forget_oldest();
+    }
+
+    /// Drops the oldest ended tasks above the declared count, and their tokens.
+    fn forget_oldest(&mut self) {
+        let kept = self.declaration.defaults.ended_tasks as usize;
+        while self.ended.len() > kept {
+            let Some(task) = self.ended.pop_front().and_then(|id| self.tasks.remove(&id)) else {
+                continue;
+            };
+            if let Some(token) = task.token {
+                self.tokens.remove(&(task.team, token));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/workers.rs
@@ -0,0 +1,183 @@
+//! Upstream workers: the one pool of each, drains, maintenance, moves and availability budgets.
+
+use super::{Effect, Fleet, VoidReason, Worker, WorkerState, ZoneState, config::next_key};
+use crate::ids::{Offset, PoolId, WorkerId};
+use crate::record::WorkerSeen;
+
+impl Fleet {
+    /// True if the worker takes work: it serves and its zone is in service.
+    #[must_use]
+    pub fn takes_work(&self, worker: &Worker) -> bool {
+        let in_service = self.zones.get(&worker.zone).is_some_and(|z| z.state == ZoneState::InService);
+        in_service && worker.state == WorkerState::Serving
+    }
+
+    /// Workers of a pool that take work.
+    #[must_use]
+    pub fn serving(&self, pool: PoolId) -> u32 {
+        self.serving_if(pool, |_| true)
+    }
+
+    fn serving_if(&self, pool: PoolId, keep: impl Fn(&Worker) -> bool) -> u32 {
+        let workers = self.workers.values().filter(|w| w.pool == pool);
+        let left = workers.filter(|w| self.takes_work(w) && keep(w)).count();
+        u32::try_from(left).unwrap_or(u32::MAX)
+    }
+
+    /// Checks the budget of a pool as if only the kept workers served. A change that takes no serving worker away is
+    /// allowed even when losses have broken the budget before.
+    pub(super) fn check_budget(
+        &self,
+        pool: PoolId,
+        keep: impl Fn(&Worker) -> bool,
+    ) -> Result<(), VoidReason> {
+        let row = self.pools.get(&pool).ok_or(VoidReason::Unknown("pool"))?;
+        let left = self.serving_if(pool, keep);
+        if left < row.min_serving && left < self.serving(pool) {
+            return Err(VoidReason::Budget { pool: row.name.clone(), needed: row.min_serving, left });
+        }
+        Ok(())
+    }
+
+    /// Adds a worker of the platform's list or updates its address. The pool of a known worker never changes here.
+    pub(super) fn see_worker(&mut self, seen: &WorkerSeen) -> Result<Effect, VoidReason> {
+        let pool = self.pool(&seen.pool).ok_or(VoidReason::Unknown("pool"))?;
+        let zone = self.zone_or_new(&seen.zone);
+        let Some(id) = self.worker(&seen.name) else {
+            return Ok(self.add_worker(seen, pool, zone));
+        };
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return Err(VoidReason::Unknown("worker"));
+        };
+        worker.state = next_state(worker, seen);
+        worker.nonce = seen.nonce;
+        worker.address.clone_from(&seen.address);
+        worker.slots = seen.slots;
+        Ok(Effect::Worker(id))
+    }
+
+    fn add_worker(&mut self, seen: &WorkerSeen, pool: PoolId, zone: crate::ids::ZoneId) -> Effect {
+        let id = WorkerId(next_key(self.workers.len()));
+        let state = if seen.leaving { WorkerState::Leaving } else { WorkerState::Serving };
+        let worker = Worker {
+            name: seen.name.clone(),
+            nonce: seen.nonce,
+            address: seen.address.clone(),
+            zone,
+            rack: seen.rack.clone(),
+            pool,
+            slots: seen.slots,
+            state,
+        };
+        self.workers.insert(id, worker);
+        Effect::Worker(id)
+    }
+
+    pub(super) fn lose_worker(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        self.set_state(id, |state| (state != WorkerState::Lost).then_some(WorkerState::Lost))
+    }
+
+    pub(super) fn start_drain(&mut self, offset: Offset, id: WorkerId) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        self.check_drains(worker.pool)?;
+        self.stop_serving(id, WorkerState::Draining(offset))
+    }
+
+    fn check_drains(&self, pool: PoolId) -> Result<(), VoidReason> {
+        let name = &self.pools[&pool].name;
+        let allowed = self.declaration.exception("drains", name, "");
+        let allowed = allowed.unwrap_or(u64::from(self.declaration.defaults.drains));
+        let stopped = |w: &&Worker| matches!(w.state, WorkerState::Draining(_) | WorkerState::Maintenance);
+        let drained = self.workers.values().filter(|w| w.pool == pool).filter(stopped).count();
+        if drained as u64 >= allowed {
+            return Err(VoidReason::Drains { pool: name.clone(), allowed });
+        }
+        Ok(())
+    }
+
+    pub(super) fn start_move(
+        &mut self,
+        offset: Offset,
+        id: WorkerId,
+        to: &str,
+    ) -> Result<Effect, VoidReason> {
+        let to = self.pool(to).ok_or(VoidReason::Unknown("pool"))?;
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        if worker.pool == to {
+            return Err(VoidReason::State);
+        }
+        self.stop_serving(id, WorkerState::Moving { to, since: offset })
+    }
+
+    fn stop_serving(&mut self, id: WorkerId, state: WorkerState) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        if worker.state != WorkerState::Serving {
+            return Err(VoidReason::State);
+        }
+        let name = worker.name.clone();
+        self.check_budget(worker.pool, |other| other.name != name)?;
+        self.set_state(id, |_| Some(state))
+    }
+
+    /// Takes back a drain or a move that has not passed its barrier.
+    pub(super) fn cancel_drain(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        self.set_state(id, |state| {
+            let stopping = matches!(state, WorkerState::Draining(_) | WorkerState::Moving { .. });
+            stopping.then_some(WorkerState::Serving)
+        })
+    }
+
+    /// Lets a drained worker reboot, once every live member has confirmed its stop.
+    pub(super) fn start_maintenance(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        let WorkerState::Draining(since) = worker.state else {
+            return Err(VoidReason::State);
+        };
+        self.check_quiet(since)?;
+        self.set_state(id, |_| Some(WorkerState::Maintenance))
+    }
+
+    pub(super) fn end_maintenance(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        self.set_state(id, |state| (state == WorkerState::Maintenance).then_some(WorkerState::Serving))
+    }
+
+    /// Changes the pool of a moving worker, once every live member has confirmed its stop. The worker then reboots
+    /// into the new pool and serves after `MaintenanceEnded`.
+    pub(super) fn end_move(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        let WorkerState::Moving { to, since } = worker.state else {
+            return Err(VoidReason::State);
+        };
+        self.check_quiet(since)?;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.pool = to;
+        }
+        self.set_state(id, |_| Some(WorkerState::Maintenance))
+    }
+
+    fn check_quiet(&self, since: Offset) -> Result<(), VoidReason> {
+        self.unconfirmed(since).map_or(Ok(()), |member| Err(VoidReason::NotQuiet(member)))
+    }
+
+    fn set_state(
+        &mut self,
+        id: WorkerId,
+        next: impl FnOnce(WorkerState) -> Option<WorkerState>,
+    ) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get_mut(&id).ok_or(VoidReason::Unknown("worker"))?;
+        worker.state = next(worker.state).ok_or(VoidReason::State)?;
+        Ok(Effect::Worker(id))
+    }
+}
+
+/// State of a known worker after the platform's list showed it.
+fn next_state(worker: &Worker, seen: &WorkerSeen) -> WorkerState {
+    let restarted = worker.nonce != seen.nonce;
+    match worker.state {
+        WorkerState::Maintenance => WorkerState::Maintenance,
+        _ if seen.leaving => WorkerState::Leaving,
+        WorkerState::Lost => WorkerState::Serving,
+        WorkerState::Leaving if restarted => WorkerState::Serving,
+        state => state,
+    }
+}
--- /dev/null
+++ b/crates/core/src/model/mod.rs
@@ -0,0 +1,1 @@
+//! Specification for the model checker.
--- /dev/null
+++ b/crates/core/src/share/mod.rs
@@ -0,0 +1,1 @@
+//! Allocation of capacity by share.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library half of `rattanctl`; `main.rs` only starts it.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `rattanctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library half of `rattanfall-entry`; `main.rs` only starts it.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `rattanfall-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library half of `rattanfall-load`; `main.rs` only starts it.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `rattanfall-load`.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library half of `rattanfall-standin`; `main.rs` only starts it.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `rattanfall-standin`.
+
+fn main() {}
