Fix the engine's interface and add maintenance waves to the fleet state

Cause: the entry process and the engine are written in parallel and need one interface. Ruled out: keeping a wave in the memory of the member that started it; it would be lost with that process. The engine decides nothing yet. Conclusion: the adapters can be written against these signatures.

--- a/crates/core/src/engine/event/mod.rs
+++ b/crates/core/src/engine/event/mod.rs
@@ -74,6 +74,23 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// Task that a caller hands in.
+#[derive(Clone, Debug)]
+pub struct TaskSubmission {
+    /// SHA-256 of the caller's key; absent for work without a key.
+    pub key: Option<KeyHash>,
+    /// Name of the pool.
+    pub pool: String,
+    /// Urgency.
+    pub class: Class,
+    /// True if the task may run more than once.
+    pub idempotent: bool,
+    /// Submit token; a second submission with it returns the first task.
+    pub token: Option<String>,
+    /// Body for the worker.
+    pub payload: Vec<u8>,
+}
+
 /// How one attempt of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
--- a/crates/core/src/fleet/apply.rs
+++ b/crates/core/src/fleet/apply.rs
@@ -151,6 +151,7 @@
             Record::HoldReclaim { member } => self.reclaim(*member),
             Record::WorkerSeen(seen) => self.see_worker(seen),
             Record::WorkerLost { worker } => self.lose_worker(*worker),
+            Record::WaveStarted { pool } => self.start_wave(pool),
             Record::DrainStarted { worker } => self.start_drain(offset, *worker),
             Record::DrainCancelled { worker } => self.cancel_drain(*worker),
             Record::MaintenanceStarted { worker } => self.start_maintenance(*worker),
--- a/crates/core/src/fleet/tables.rs
+++ b/crates/core/src/fleet/tables.rs
@@ -107,6 +107,8 @@
     pub pool: PoolId,
     /// Work that it runs at once.
     pub slots: u32,
+    /// True until the maintenance wave of its pool has reached it.
+    pub due: bool,
     /// Life cycle.
     pub state: WorkerState,
 }
--- a/crates/core/src/fleet/workers.rs
+++ b/crates/core/src/fleet/workers.rs
@@ -67,6 +67,7 @@
             rack: seen.rack.clone(),
             pool,
             slots: seen.slots,
+            due: false,
             state,
         };
         self.workers.insert(id, worker);
@@ -77,6 +78,15 @@
         self.set_state(id, |state| (state != WorkerState::Lost).then_some(WorkerState::Lost))
     }
 
+    /// Marks the workers of a pool as due; the members then drain them one after another under the budget.
+    pub(super) fn start_wave(&mut self, pool: &str) -> Result<Effect, VoidReason> {
+        let pool = self.pool(pool).ok_or(VoidReason::Unknown("pool"))?;
+        for worker in self.workers.values_mut().filter(|w| w.pool == pool) {
+            worker.due = worker.state != WorkerState::Lost;
+        }
+        Ok(Effect::Done)
+    }
+
     pub(super) fn start_drain(&mut self, offset: Offset, id: WorkerId) -> Result<Effect, VoidReason> {
         let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
         self.check_drains(worker.pool)?;
@@ -138,7 +148,12 @@
     }
 
     pub(super) fn end_maintenance(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
-        self.set_state(id, |state| (state == WorkerState::Maintenance).then_some(WorkerState::Serving))
+        let ended =
+            self.set_state(id, |state| (state == WorkerState::Maintenance).then_some(WorkerState::Serving))?;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.due = false;
+        }
+        Ok(ended)
     }
 
     /// Changes the pool of a moving worker, once every live member has confirmed its stop. The worker then reboots
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -121,6 +121,11 @@
         /// Lost worker.
         worker: WorkerId,
     },
+    /// Marks every worker of a pool as due for maintenance.
+    WaveStarted {
+        /// Name of the pool.
+        pool: String,
+    },
     /// Stops new work on a worker, for maintenance in its own pool.
     DrainStarted {
         /// Drained worker.
