--- /dev/null
+++ b/crates/entry/src/callers/call.rs
@@ -0,0 +1,196 @@
+//! One request: submission, attempts, answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::{HeaderValue, Method, Request, header};
+use rattanfall_core::engine::command::{Refusal, Send, Unknown};
+use rattanfall_core::engine::event::{AttemptEnd, Submission};
+use rattanfall_wire::worker::{DEADLINE_HEADER, POOL_HEADER, REQUEST_ID_HEADER};
+use tokio::time::Instant;
+use xitca_web::body::RequestBody;
+use xitca_web::http::{WebRequest, WebResponse};
+
+use super::Callers;
+use super::error::EdgeError;
+use super::stream::{Passed, Target, pass_on};
+use super::upload::{Pump, Upload, check_limit};
+use super::{head, upload};
+use crate::server::hang_up;
+use crate::shell::{self, Decision};
+use crate::upstreams::{Failure, SendBody, exchange};
+
+/// Segments of the path before the worker's own path: `v1`, `pools`, the pool and `call`.
+const OWN_SEGMENTS: usize = 4;
+/// Time limit for reading a small body if the request names no deadline.
+const UPLOAD: Duration = Duration::from_secs(10);
+
+/// Request as it goes to a worker, without what differs between attempts.
+struct Template {
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    headers: http::HeaderMap,
+}
+
+/// Answers a request.
+pub(super) async fn call(
+    callers: &Arc<Callers>,
+    request: &WebRequest<()>,
+    pool: &str,
+    body: RequestBody,
+) -> Result<WebResponse, EdgeError> {
+    let mut submission = head::submission(request, pool)?;
+    let length = head::length(request.headers())?;
+    check_limit(callers, &submission, length)?;
+    let limit = submission.deadline_ms.map_or(UPLOAD, Duration::from_millis);
+    let mut upload = Upload::read(body, length, limit).await?;
+    // A request whose body can be sent only once must not be repeated after it may have run.
+    submission.idempotent &= length <= upload::KEPT_BYTES;
+    let template = template(request);
+    let (mut kept, pump) = match &mut upload {
+        Upload::Kept(bytes) => (Kept::Bytes(bytes.clone()), None),
+        Upload::Streamed { body, pump } => (Kept::Stream(body.take()), Some(pump)),
+    };
+    let caller_gone = async {
+        if let Some(pump) = pump {
+            Pump::run(pump).await?;
+        }
+        hang_up(template.address).await;
+        Err(EdgeError::HungUp)
+    };
+    tokio::select! {
+        answer = attempts(callers, submission, &template, &mut kept) => answer,
+        gone = caller_gone => gone,
+    }
+}
+
+/// Body for the next attempt.
+enum Kept {
+    Bytes(bytes::Bytes),
+    Stream(Option<SendBody>),
+}
+
+impl Kept {
+    fn next(&mut self) -> Option<SendBody> {
+        match self {
+            Self::Bytes(bytes) => Some(SendBody::whole(bytes.clone())),
+            Self::Stream(body) => body.take(),
+        }
+    }
+
+    fn put_back(&mut self, request: Request<SendBody>) {
+        if let Self::Stream(body) = self {
+            *body = Some(request.into_body());
+        }
+    }
+
+    const fn used_up(&self) -> bool {
+        matches!(self, Self::Stream(None))
+    }
+}
+
+fn template(request: &WebRequest<()>) -> Template {
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let own = path.match_indices('/').nth(OWN_SEGMENTS).map(|(index, _)| &path[index..]);
+    let query = request.uri().query().map(|query| format!("/?{query}"));
+    let path = own.map(str::to_owned).or(query).unwrap_or_else(|| "/".into());
+    Template {
+        address: *request.body().socket_addr(),
+        method: request.method().clone(),
+        path,
+        headers: head::passed_on(request.headers()),
+    }
+}
+
+/// Follows the engine's decisions until there is an answer or an end.
+async fn attempts(
+    callers: &Arc<Callers>,
+    submission: Submission,
+    template: &Template,
+    kept: &mut Kept,
+) -> Result<WebResponse, EdgeError> {
+    let mut request = shell::Request::submit(&callers.shell, submission);
+    let mut last = None;
+    loop {
+        let send = match request.decision().await {
+            Some(Decision::Send(send)) => send,
+            Some(Decision::Refuse(refusal)) => return Err(EdgeError::Refused(refusal)),
+            None => return Err(after_rejoin(last)),
+        };
+        let deadline = Instant::now() + Duration::from_millis(send.left_ms);
+        let target = Target { callers, address: template.address, method: &template.method, deadline };
+        let failure = match attempt(callers, template, kept, &send, deadline).await {
+            Ok(answer) => match pass_on(&target, request, answer).await {
+                Passed::Response(response) => return Ok(*response),
+                Passed::Failed(returned, failure) => {
+                    request = *returned;
+                    failure
+                }
+            },
+            Err(failure) => failure,
+        };
+        let end = AttemptEnd::from(&failure);
+        if let Failure::Unsent(returned) = failure {
+            kept.put_back(*returned);
+        }
+        if kept.used_up() && matches!(end, AttemptEnd::Refused(_)) {
+            request.broke_off(end);
+            return Err(EdgeError::BodyUsed);
+        }
+        last = Some(end);
+        request.attempt_ended(end);
+    }
+}
+
+/// End of a request whose engine was replaced: what is known of its last attempt.
+const fn after_rejoin(last: Option<AttemptEnd>) -> EdgeError {
+    match last {
+        None | Some(AttemptEnd::Refused(_) | AttemptEnd::Unsent) => EdgeError::Rejoining,
+        Some(AttemptEnd::TimedOut) => EdgeError::Refused(Refusal::Unknown(Unknown::TimedOut)),
+        Some(AttemptEnd::Corrupt) => EdgeError::Refused(Refusal::Unknown(Unknown::CorruptAnswer)),
+        Some(AttemptEnd::Broken | AttemptEnd::Answered { .. }) => {
+            EdgeError::Refused(Refusal::Unknown(Unknown::Broken))
+        }
+    }
+}
+
+async fn attempt(
+    callers: &Arc<Callers>,
+    template: &Template,
+    kept: &mut Kept,
+    send: &Send,
+    deadline: Instant,
+) -> Result<crate::upstreams::Answer, Failure> {
+    // Only a refusal leaves a used body behind, and the request ends there; the empty body is never sent.
+    let body = kept.next().unwrap_or(SendBody::Whole(None));
+    let request = build(callers, template, body, send);
+    exchange(&callers.pool, &send.address, request, deadline).await
+}
+
+fn build(callers: &Callers, template: &Template, body: SendBody, send: &Send) -> Request<SendBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = template.method.clone();
+    *request.uri_mut() = template.path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    *headers = template.headers.clone();
+    let mut set = |name: &'static str, text: &str| {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    };
+    set(header::HOST.as_str(), &send.address);
+    set(REQUEST_ID_HEADER, &request_id(callers));
+    set(POOL_HEADER, &send.pool);
+    set(DEADLINE_HEADER, &send.left_ms.to_string());
+    request
+}
+
+/// Id of one attempt. The process's nonce keeps ids of several entry instances apart.
+fn request_id(callers: &Callers) -> String {
+    static COUNT: AtomicU64 = AtomicU64::new(1);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    format!("{:016x}-{count:x}", callers.id)
+}
--- /dev/null
+++ b/crates/entry/src/callers/tasks.rs
@@ -0,0 +1,147 @@
+//! Tasks of callers: submission, lookup, cancellation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use rattanfall_core::engine::command::{NotRun, ProposalError, Refusal, Unknown};
+use rattanfall_core::engine::event::TaskSubmission;
+use rattanfall_core::fleet::{Effect, Fleet, VoidReason};
+use rattanfall_core::ids::{TaskId, TeamId};
+use rattanfall_core::record::{KeyHash, Record};
+use rattanfall_wire::caller::{Outcome, SubmittedTask, TOKEN_HEADER, TaskBody};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use xitca_web::body::RequestBody;
+use xitca_web::http::{WebRequest, WebResponse};
+
+use super::Callers;
+use super::answer::json;
+use super::error::EdgeError;
+use super::head;
+use super::upload::read_whole;
+use crate::shell::Resolution;
+
+/// Time limit for reading a payload.
+const UPLOAD: Duration = Duration::from_secs(10);
+/// Longest wait for a record's offset. The engine gives up earlier.
+const RESOLVE: Duration = Duration::from_secs(60);
+
+/// Accepts a task.
+pub(super) async fn submit(
+    callers: &Arc<Callers>,
+    request: &WebRequest<()>,
+    pool: &str,
+    body: RequestBody,
+) -> Result<WebResponse, EdgeError> {
+    let headers = request.headers();
+    let length = head::length(headers)?;
+    let key = head::key_hash(headers)?;
+    let limit = callers.shell.read(|engine| payload_limit(engine.fleet(), pool, key));
+    if let Some(limit) = limit.filter(|limit| length > *limit) {
+        return Err(EdgeError::TooLarge(limit));
+    }
+    let payload = read_whole(body, length, UPLOAD).await?;
+    let task = TaskSubmission {
+        key,
+        pool: pool.to_owned(),
+        class: head::class(headers)?,
+        idempotent: head::idempotent(request.method(), headers)?,
+        token: head::text(headers, TOKEN_HEADER)?.map(str::to_owned),
+        payload: payload.to_vec(),
+    };
+    let resolution = callers.shell.submit_task(task).map_err(not_run)?;
+    match wait(resolution).await {
+        Ok((_, Effect::Task(id))) => {
+            Ok(json(StatusCode::ACCEPTED, Outcome::Unknown, None, &SubmittedTask { id: id.to_string() }))
+        }
+        Ok(_) => Err(EdgeError::Refused(Refusal::Unknown(Unknown::AppendUnknown))),
+        Err(error) => Err(proposal_error(&error)),
+    }
+}
+
+/// Payload limit of a pool. Before the pool or team is known, the fleet-wide default.
+fn payload_limit(fleet: &Fleet, pool: &str, key: Option<KeyHash>) -> Option<u64> {
+    let team = team(fleet, key).or_else(|| fleet.pools.get(&fleet.pool(pool)?)?.open);
+    let pool = fleet.pool(pool).unwrap_or_default();
+    Some(fleet.default_for(pool, team.unwrap_or_default(), |d| d.payload_bytes, "payload_bytes"))
+}
+
+fn team(fleet: &Fleet, key: Option<KeyHash>) -> Option<TeamId> {
+    let key = fleet.keys.get(fleet.hashes.get(&key?)?)?;
+    (!key.withdrawn).then_some(key.team)
+}
+
+fn not_run(reason: NotRun) -> EdgeError {
+    EdgeError::Refused(Refusal::NotRun(reason))
+}
+
+fn proposal_error(error: &ProposalError) -> EdgeError {
+    EdgeError::Refused(match error {
+        ProposalError::Void(VoidReason::Unknown("pool")) => Refusal::NotRun(NotRun::UnknownPool),
+        ProposalError::Void(VoidReason::Unknown(_)) => Refusal::NotRun(NotRun::KeyUnknown),
+        ProposalError::Void(_) => Refusal::NotRun(NotRun::NotReady),
+        ProposalError::Unavailable => Refusal::NotRun(NotRun::PlatformUnavailable),
+        ProposalError::Unknown => Refusal::Unknown(Unknown::AppendUnknown),
+    })
+}
+
+/// Waits for a proposal's end. A lost channel leaves the end unknown: the engine was replaced.
+async fn wait(resolution: oneshot::Receiver<Resolution>) -> Resolution {
+    match timeout(RESOLVE, resolution).await {
+        Ok(Ok(resolution)) => resolution,
+        _ => Err(ProposalError::Unknown),
+    }
+}
+
+/// Answers with the state of a task.
+pub(super) fn look_up(
+    callers: &Arc<Callers>,
+    request: &WebRequest<()>,
+    id: &str,
+) -> Result<WebResponse, EdgeError> {
+    let body = visible(callers, request, id)?.1;
+    Ok(json(StatusCode::OK, task_outcome(&body), None, &body))
+}
+
+/// Cancels a task.
+pub(super) async fn cancel(
+    callers: &Arc<Callers>,
+    request: &WebRequest<()>,
+    id: &str,
+) -> Result<WebResponse, EdgeError> {
+    let (task, _) = visible(callers, request, id)?;
+    match wait(callers.shell.propose(Record::TaskCancelled { task })).await {
+        Ok(_) => {
+            let body = visible(callers, request, id)?.1;
+            Ok(json(StatusCode::ACCEPTED, task_outcome(&body), None, &body))
+        }
+        Err(ProposalError::Void(VoidReason::State)) => Err(EdgeError::TaskEnded),
+        Err(ProposalError::Void(VoidReason::Unknown(_))) => Err(EdgeError::NoTask),
+        Err(error) => Err(proposal_error(&error)),
+    }
+}
+
+/// Finds a task of the key's own team. Without a key, a task of an open pool.
+fn visible(callers: &Callers, request: &WebRequest<()>, id: &str) -> Result<(TaskId, TaskBody), EdgeError> {
+    let key = head::key_hash(request.headers())?;
+    let id: TaskId = id.parse().map_err(|_| EdgeError::NoTask)?;
+    callers.shell.read(|engine| {
+        let fleet = engine.fleet();
+        let task = fleet.tasks.get(&id).ok_or(EdgeError::NoTask)?;
+        let team = match key {
+            Some(_) => team(fleet, key),
+            None => fleet.pools.get(&task.pool).and_then(|pool| pool.open),
+        };
+        let own = team == Some(task.team);
+        if own { Ok((id, TaskBody::from((id, task)))) } else { Err(EdgeError::NoTask) }
+    })
+}
+
+fn task_outcome(body: &TaskBody) -> Outcome {
+    match body.state.as_str() {
+        "done" => Outcome::Done,
+        "cancelled" if body.attempts == 0 => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/upload.rs
@@ -0,0 +1,108 @@
+//! Bodies of callers' requests.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use rattanfall_core::engine::event::Submission;
+use tokio::time::timeout;
+use xitca_web::body::{Body, Frame, RequestBody};
+
+use super::Callers;
+use super::error::EdgeError;
+use crate::upstreams::{Feed, SendBody, feed};
+
+/// Largest body that is kept for another attempt, in bytes.
+pub(super) const KEPT_BYTES: u64 = 64 << 10;
+
+/// Body on its way to the worker.
+pub(super) enum Upload {
+    /// Read in whole before the request is submitted.
+    Kept(Bytes),
+    /// Passed on while it arrives; can be sent once.
+    Streamed {
+        /// Body for the worker, until it is used up.
+        body: Option<SendBody>,
+        /// What feeds it.
+        pump: Pump,
+    },
+}
+
+/// Source of a streamed body.
+pub(super) struct Pump {
+    feed: Feed,
+    source: RequestBody,
+    left: u64,
+}
+
+impl Upload {
+    /// Reads a small body in whole, or prepares to stream a large one.
+    pub(super) async fn read(source: RequestBody, length: u64, limit: Duration) -> Result<Self, EdgeError> {
+        if length <= KEPT_BYTES {
+            return read_whole(source, length, limit).await.map(Self::Kept);
+        }
+        let (feed, body) = feed(length);
+        Ok(Self::Streamed { body: Some(body), pump: Pump { feed, source, left: length } })
+    }
+}
+
+/// Reads a body of a known length.
+pub(super) async fn read_whole(
+    mut source: RequestBody,
+    length: u64,
+    limit: Duration,
+) -> Result<Bytes, EdgeError> {
+    let mut bytes = BytesMut::with_capacity(usize::try_from(length).unwrap_or(0));
+    let read = async {
+        while let Some(part) = next_part(&mut source).await? {
+            bytes.extend_from_slice(&part);
+        }
+        Ok(())
+    };
+    timeout(limit, read).await.map_err(|_| EdgeError::Slow)??;
+    if bytes.len() as u64 == length { Ok(bytes.freeze()) } else { Err(EdgeError::EndedEarly) }
+}
+
+async fn next_part(source: &mut RequestBody) -> Result<Option<Bytes>, EdgeError> {
+    loop {
+        match poll_fn(|cx| Pin::new(&mut *source).poll_frame(cx)).await {
+            Some(Ok(Frame::Data(part))) => return Ok(Some(part)),
+            Some(Ok(Frame::Trailers(_))) => {}
+            Some(Err(_)) => return Err(EdgeError::EndedEarly),
+            None => return Ok(None),
+        }
+    }
+}
+
+impl Pump {
+    /// Feeds the whole body. Returns early if the worker wants no more of it.
+    pub(super) async fn run(&mut self) -> Result<(), EdgeError> {
+        while self.left > 0 {
+            let part = next_part(&mut self.source).await?.ok_or(EdgeError::EndedEarly)?;
+            self.left = self.left.saturating_sub(part.len() as u64);
+            if self.feed.send(part).await.is_err() {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Checks the body's length against the limit of the pool and team.
+pub(super) fn check_limit(callers: &Callers, submission: &Submission, length: u64) -> Result<(), EdgeError> {
+    if length == 0 {
+        return Ok(());
+    }
+    let limit = callers.shell.read(|engine| {
+        let fleet = engine.fleet();
+        let pool = fleet.pool(&submission.pool)?;
+        let key = submission.key.and_then(|hash| fleet.hashes.get(&hash)).and_then(|id| fleet.keys.get(id));
+        let team = key.map(|key| key.team).or(fleet.pools.get(&pool)?.open)?;
+        Some(fleet.default_for(pool, team, |defaults| defaults.body_bytes, "body_bytes"))
+    });
+    match limit {
+        Some(limit) if length > limit => Err(EdgeError::TooLarge(limit)),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/logs/mod.rs
@@ -0,0 +1,44 @@
+//! Log lines: one JSON object a line on standard error.
+
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::Map;
+
+/// Starts logging with a filter such as `info` or `rattanfall_entry=debug`. Later calls have no effect.
+pub fn start(filter: &str) {
+    let mut builder = env_logger::Builder::new();
+    builder.parse_filters(filter);
+    builder.format(|buffer, record| writeln!(buffer, "{}", line(record)));
+    let _ = builder.try_init();
+}
+
+/// Formats a record as a JSON object.
+#[must_use]
+pub fn line(record: &Record<'_>) -> serde_json::Value {
+    let mut fields = Fields(Map::new());
+    let _ = record.key_values().visit(&mut fields);
+    let mut object = fields.0;
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    object.insert("time_ms".into(), u64::try_from(since.as_millis()).unwrap_or(u64::MAX).into());
+    object.insert("level".into(), record.level().as_str().to_lowercase().into());
+    object.insert("target".into(), record.target().into());
+    object.insert("message".into(), record.args().to_string().into());
+    object.into()
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,5 @@
 //! Starts `rattanfall-entry`.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    rattanfall_entry::run()
+}
--- /dev/null
+++ b/crates/entry/src/metrics/edge.rs
@@ -0,0 +1,57 @@
+//! Counters of the process's own edge: what happens before and after the engine.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
+use parking_lot::Mutex;
+
+/// Counters by event, and the open connections of callers and operators.
+#[derive(Debug, Default)]
+pub struct Edge {
+    events: Mutex<BTreeMap<&'static str, u64>>,
+    connections: AtomicU64,
+}
+
+impl Edge {
+    /// Counts an event.
+    pub fn count(&self, event: &'static str) {
+        *self.events.lock().entry(event).or_default() += 1;
+    }
+
+    /// Count of an event so far.
+    #[must_use]
+    pub fn get(&self, event: &'static str) -> u64 {
+        self.events.lock().get(event).copied().unwrap_or(0)
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn opened(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn closed(&self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+pub(super) fn add_instruments(meter: &Meter, edge: &Arc<Edge>) {
+    let events = Arc::clone(edge);
+    let counter = meter.u64_observable_counter("edge_events").with_description("Events at the edge, by kind");
+    let observe = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
+        for (event, count) in events.events.lock().iter() {
+            observer.observe(*count, &[KeyValue::new("event", *event)]);
+        }
+    };
+    counter.with_callback(observe).build();
+    let connections = Arc::clone(edge);
+    let gauge = meter.u64_observable_gauge("connections").with_description("Open connections");
+    gauge.with_callback(move |observer| observer.observe(connections.connections(), &[])).build();
+}
--- /dev/null
+++ b/crates/entry/src/platform/appender.rs
@@ -0,0 +1,22 @@
+//! Appends of batches, one at a time.
+
+use std::sync::Arc;
+
+use rattanfall_core::engine::Event;
+use rattanfall_core::record::{Batch, encode};
+use tokio::sync::mpsc;
+
+use super::Platform;
+use crate::shell::Shell;
+
+/// Appends each batch once and reports the end. Only the engine repeats an append: it knows from the log whether the
+/// batch took effect.
+pub async fn run_appends(shell: Arc<Shell>, platform: Arc<Platform>, mut batches: mpsc::Receiver<Batch>) {
+    while let Some(batch) = batches.recv().await {
+        let appended = platform.append(&encode(&batch)).await;
+        if let Err(error) = &appended {
+            log::warn!(sequence = batch.sequence; "an append was not confirmed: {error}");
+        }
+        shell.handle(Event::AppendEnded { sequence: batch.sequence, accepted: appended.is_ok() });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/log.rs
@@ -0,0 +1,118 @@
+//! Cursor over the log. The platform's reads and the peers' tails feed the same cursor.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use rattanfall_core::engine::Event;
+use rattanfall_core::fleet::Fleet;
+use rattanfall_core::ids::Offset;
+use rattanfall_core::record::decode;
+use thiserror::Error;
+
+use super::Tail;
+use crate::shell::Shell;
+
+/// Entries start after the cursor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("entries from offset {first} on do not follow offset {next}")]
+pub struct FeedError {
+    /// First offset offered.
+    pub first: u64,
+    /// Offset needed.
+    pub next: u64,
+}
+
+/// Position in the log, the engine that it feeds, and the kept tail.
+#[derive(Debug)]
+pub struct Log {
+    shell: Arc<Shell>,
+    tail: Tail,
+    next: Mutex<u64>,
+    reached: Mutex<Instant>,
+}
+
+impl Log {
+    /// Starts before the first offset.
+    #[must_use]
+    pub fn new(shell: Arc<Shell>) -> Arc<Self> {
+        Arc::new(Self {
+            shell,
+            tail: Tail::default(),
+            next: Mutex::new(0),
+            reached: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Next offset to read.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        *self.next.lock()
+    }
+
+    /// Kept tail.
+    #[must_use]
+    pub const fn tail(&self) -> &Tail {
+        &self.tail
+    }
+
+    /// Feeds entries in offset order. Those before the cursor are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the first entry is after the cursor.
+    pub fn feed(&self, first: u64, entries: Vec<Vec<u8>>) -> Result<(), FeedError> {
+        let mut next = self.next.lock();
+        if first > *next {
+            return Err(FeedError { first, next: *next });
+        }
+        for (offset, entry) in (first..).zip(entries) {
+            if offset < *next {
+                continue;
+            }
+            self.feed_one(Offset(offset), entry);
+            *next = offset + 1;
+        }
+        Ok(())
+    }
+
+    fn feed_one(&self, offset: Offset, entry: Vec<u8>) {
+        let event = match decode(&entry) {
+            Ok(batch) => Event::LogBatch { offset, batch },
+            Err(error) => {
+                log::error!(offset = offset.0; "a log entry is passed over: {error}");
+                Event::LogCorrupt(offset)
+            }
+        };
+        self.shell.handle(event);
+        self.tail.push(offset.0, entry);
+    }
+
+    /// Goes on after a snapshot, if it is ahead of the cursor or nothing was read yet.
+    pub fn restore(&self, fleet: Fleet) {
+        let mut next = self.next.lock();
+        let Some(covers) = fleet.applied.filter(|covers| covers.0 + 1 > *next) else {
+            return;
+        };
+        log::info!(covers = covers.0; "the state is restored from a snapshot");
+        self.shell.handle(Event::Restored(Box::new(fleet)));
+        *next = covers.0 + 1;
+    }
+
+    /// Notes that the platform answered a read.
+    pub fn note_reached(&self) {
+        *self.reached.lock() = Instant::now();
+    }
+
+    /// Time since the platform last answered a read.
+    #[must_use]
+    pub fn unreached(&self) -> Duration {
+        self.reached.lock().elapsed()
+    }
+
+    /// Engine that the log feeds.
+    #[must_use]
+    pub const fn shell(&self) -> &Arc<Shell> {
+        &self.shell
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server/connection.rs
@@ -0,0 +1,166 @@
+//! Connections of callers.
+//!
+//! The server does not read from a connection while a handler runs, so a caller that hangs up would go unnoticed.
+//! Each connection is therefore registered with its thread, and a handler can wait for its end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use xitca_http::HttpServiceError;
+use xitca_io::io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut};
+use xitca_service::Service;
+
+use crate::metrics::Edge;
+
+/// Time for which the rest of a refused request is read.
+const DRAIN: Duration = Duration::from_millis(500);
+/// Bytes of a refused request that are read at most.
+const DRAIN_BYTES: u64 = 1 << 20;
+
+thread_local! {
+    static OPEN: RefCell<HashMap<SocketAddr, Rc<Socket>>> = RefCell::new(HashMap::new());
+}
+
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    /// True while a handler's answer is due or being written; other answers are the server's own, to requests
+    /// that it could not parse.
+    handled: Cell<bool>,
+}
+
+/// Waits until the caller at this address hangs up. Never returns if the caller sends more instead: the next
+/// request of a pipeline hides the end of the connection.
+pub async fn hang_up(address: SocketAddr) {
+    let socket = OPEN.with_borrow(|open| open.get(&address).cloned());
+    let Some(socket) = socket else {
+        return std::future::pending().await;
+    };
+    let mut byte = [0];
+    match socket.stream.peek(&mut byte).await {
+        Ok(0) | Err(_) => {}
+        Ok(_) => std::future::pending().await,
+    }
+}
+
+/// Notes that a handler answers on this connection.
+pub(crate) fn note_handled(address: SocketAddr) {
+    OPEN.with_borrow(|open| {
+        if let Some(socket) = open.get(&address) {
+            socket.handled.set(true);
+        }
+    });
+}
+
+/// Registers each accepted connection. The server calls it in the place of a TLS handshake.
+#[derive(Clone, Debug)]
+pub struct Tracker {
+    edge: Arc<Edge>,
+}
+
+impl Tracker {
+    /// Creates a tracker that counts malformed requests.
+    #[must_use]
+    pub fn new(edge: &Arc<Edge>) -> Self {
+        Self { edge: Arc::clone(edge) }
+    }
+}
+
+impl Service for Tracker {
+    type Response = Self;
+    type Error = Infallible;
+
+    async fn call(&self, (): ()) -> Result<Self, Infallible> {
+        Ok(self.clone())
+    }
+}
+
+/// Failure to register a connection.
+#[derive(Debug)]
+pub struct Unregistered;
+
+impl<S, B> From<Unregistered> for HttpServiceError<S, B> {
+    fn from(_: Unregistered) -> Self {
+        Self::Ignored
+    }
+}
+
+impl Service<xitca_io::net::TcpStream> for Tracker {
+    type Response = Connection;
+    type Error = Unregistered;
+
+    async fn call(&self, stream: xitca_io::net::TcpStream) -> Result<Connection, Unregistered> {
+        let register = || -> io::Result<Connection> {
+            let stream = TcpStream::from_std(stream.into_std()?)?;
+            stream.set_nodelay(true)?;
+            let address = stream.peer_addr()?;
+            let socket = Rc::new(Socket { stream, handled: Cell::new(false) });
+            OPEN.with_borrow_mut(|open| open.insert(address, Rc::clone(&socket)));
+            self.edge.opened();
+            let registered = Registered { address, edge: Arc::clone(&self.edge) };
+            Ok(Connection { socket, registered })
+        };
+        register().map_err(|_| Unregistered)
+    }
+}
+
+/// Registered connection.
+#[derive(Debug)]
+pub struct Connection {
+    socket: Rc<Socket>,
+    registered: Registered,
+}
+
+#[derive(Debug)]
+struct Registered {
+    address: SocketAddr,
+    edge: Arc<Edge>,
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        OPEN.with_borrow_mut(|open| open.remove(&self.address));
+        self.edge.closed();
+    }
+}
+
+impl AsyncBufRead for Connection {
+    async fn read<B: BoundedBufMut>(&self, buffer: B) -> (io::Result<usize>, B) {
+        self.socket.handled.set(false);
+        AsyncBufRead::read(&self.socket.stream, buffer).await
+    }
+}
+
+impl AsyncBufWrite for Connection {
+    async fn write<B: BoundedBuf>(&self, buffer: B) -> (io::Result<usize>, B) {
+        if !self.socket.handled.get() && buffer.chunk().starts_with(b"HTTP/1.") {
+            self.registered.edge.count("malformed");
+        }
+        AsyncBufWrite::write(&self.socket.stream, buffer).await
+    }
+
+    /// Ends the connection. What the caller still sends is read for a moment, because closing a socket with unread
+    /// bytes resets it, and the reset can overtake the answer.
+    async fn shutdown(self, _: Shutdown) -> io::Result<()> {
+        let Self { socket, registered } = self;
+        drop(registered);
+        let Some(socket) = Rc::into_inner(socket) else {
+            return Ok(());
+        };
+        let mut stream = socket.stream;
+        AsyncWriteExt::shutdown(&mut stream).await?;
+        let mut rest = (&mut stream).take(DRAIN_BYTES);
+        let mut sink = tokio::io::sink();
+        let drained = tokio::io::copy(&mut rest, &mut sink);
+        let _ = tokio::time::timeout(DRAIN, drained).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server/mod.rs
@@ -0,0 +1,114 @@
+//! HTTP servers: listeners that can be closed, and connections that report a caller's hang-up.
+
+mod connection;
+mod gate;
+
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_server::ServerHandle;
+use xitca_service::ready::ReadyService;
+use xitca_service::{Service, ServiceExt};
+use xitca_web::body::{Body, RequestBody};
+use xitca_web::bytes::Bytes;
+use xitca_web::http::{Request, RequestExt, Response};
+
+pub(crate) use connection::note_handled;
+pub use connection::{Tracker, hang_up};
+pub use gate::Gate;
+
+use crate::metrics::Edge;
+
+/// Largest request head, in bytes. A larger one is answered with 431.
+const HEAD_BYTES: usize = 64 << 10;
+/// Most header fields of one request.
+const HEADERS: usize = 64;
+/// Time for open connections to finish when the process exits, in seconds.
+const LINGER_SECONDS: u64 = 1;
+
+/// Running server.
+#[derive(Debug)]
+pub struct Server {
+    /// Bound address.
+    pub address: SocketAddr,
+    gate: Gate,
+    handle: Handle,
+    thread: std::thread::JoinHandle<std::io::Result<()>>,
+}
+
+struct Handle(ServerHandle);
+
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Handle")
+    }
+}
+
+/// Application that a server can run.
+pub trait App: Service<Response = Self::Handler, Error = Self::Failure> + Send + Sync + 'static {
+    /// Handler of one thread.
+    type Handler: ReadyService
+        + Service<Request<RequestExt<RequestBody>>, Response = Response<Self::Body>, Error = Infallible>
+        + 'static;
+    /// Body of an answer.
+    type Body: Body<Data = Bytes, Error: std::fmt::Debug> + 'static;
+    /// Failure to set up a handler.
+    type Failure: std::fmt::Debug + 'static;
+}
+
+impl<A, H, B, E> App for A
+where
+    A: Service<Response = H, Error = E> + Send + Sync + 'static,
+    H: ReadyService
+        + Service<Request<RequestExt<RequestBody>>, Response = Response<B>, Error = Infallible>
+        + 'static,
+    B: Body<Data = Bytes, Error: std::fmt::Debug> + 'static,
+    E: std::fmt::Debug + 'static,
+{
+    type Handler = H;
+    type Body = B;
+    type Failure = E;
+}
+
+/// Serves on a bound listener with its own threads.
+///
+/// # Errors
+///
+/// Fails if the listener or the threads cannot be set up.
+pub fn serve(
+    listener: TcpListener,
+    threads: usize,
+    edge: &Arc<Edge>,
+    app: impl App,
+) -> std::io::Result<Server> {
+    let address = listener.local_addr()?;
+    let gate = Gate::new(listener)?;
+    let config = HttpServiceConfig::new().max_read_buf_size::<HEAD_BYTES>().max_request_headers::<HEADERS>();
+    let http = HttpServiceBuilder::h1().config(config).with_tls(Tracker::new(edge));
+    let mut server = xitca_server::Builder::new()
+        .worker_threads(threads)
+        .disable_signal()
+        .shutdown_timeout(LINGER_SECONDS)
+        .listen("http", gate.clone(), app.enclosed(http))
+        .build();
+    let handle = Handle(server.handle()?);
+    let thread = std::thread::Builder::new().name("server".into()).spawn(move || server.wait())?;
+    Ok(Server { address, gate, handle, thread })
+}
+
+impl Server {
+    /// Closes the listener; open connections go on.
+    pub fn refuse_new(&self) {
+        self.gate.close();
+    }
+
+    /// Stops the server. Blocks until open answers are written, at most [`LINGER_SECONDS`].
+    pub fn close(self) {
+        self.gate.close();
+        self.handle.0.stop(true);
+        let _ = self.thread.join();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shell/mod.rs
@@ -0,0 +1,223 @@
+//! Owner of the engine.
+//!
+//! The engine is behind one mutex, which is never held across an await. Every call takes the engine's commands
+//! while it holds the mutex: decisions and resolutions go to their waiting handlers at once, the others to the
+//! [`Outbox`] after the mutex is released.
+
+mod outbox;
+mod request;
+mod tick;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use rattanfall_core::engine::command::{NotRun, ProposalError, Refusal, Send};
+use rattanfall_core::engine::event::{AttemptEnd, Submission, TaskSubmission};
+use rattanfall_core::engine::{Command, Engine, Event, Millis, Options, RequestKey, Ticket};
+use rattanfall_core::fleet::Effect;
+use rattanfall_core::ids::{MemberId, Offset};
+use rattanfall_core::record::Record;
+use tokio::sync::oneshot;
+
+pub use outbox::{Inbox, Order, Outbox, outbox};
+pub use request::Request;
+pub use tick::run_ticks;
+
+/// What the engine decided about a waiting request.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Send it.
+    Send(Send),
+    /// It ended without an answer.
+    Refuse(Refusal),
+}
+
+/// What became of a proposal.
+pub type Resolution = Result<(Offset, Effect), ProposalError>;
+
+/// Key of a request within one incarnation of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Handle {
+    epoch: u64,
+    key: RequestKey,
+}
+
+/// Engine with its waiting handlers.
+#[derive(Debug)]
+pub struct Shell {
+    state: Mutex<State>,
+    clock: Instant,
+    outbox: Outbox,
+}
+
+#[derive(Debug)]
+struct State {
+    engine: Engine,
+    /// Count of rejoins. Keys of an earlier engine could name other requests of the present one.
+    epoch: u64,
+    decisions: HashMap<RequestKey, oneshot::Sender<Decision>>,
+    resolutions: HashMap<Ticket, oneshot::Sender<Resolution>>,
+}
+
+impl Shell {
+    /// Creates a shell with a new engine.
+    #[must_use]
+    pub fn new(options: Options, outbox: Outbox) -> Arc<Self> {
+        let engine = Engine::new(options, rand::random());
+        let state = State { engine, epoch: 0, decisions: HashMap::new(), resolutions: HashMap::new() };
+        Arc::new(Self { state: Mutex::new(state), clock: Instant::now(), outbox })
+    }
+
+    /// Time since the start of the process.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        Millis(u64::try_from(self.clock.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Reads the engine. The closure must be short: every request waits for it.
+    pub fn read<T>(&self, read: impl FnOnce(&Engine) -> T) -> T {
+        read(&self.state.lock().engine)
+    }
+
+    /// Member id of this incarnation, once its join is applied.
+    #[must_use]
+    pub fn member(&self) -> Option<MemberId> {
+        self.read(|engine| {
+            let nonce = engine.options().nonce;
+            let members = &engine.fleet().members;
+            members.iter().rev().find(|(_, m)| m.nonce == nonce).map(|(id, _)| *id)
+        })
+    }
+
+    /// Passes an event to the engine.
+    pub fn handle(&self, event: Event) {
+        self.with(|engine, now| engine.handle(now, event));
+    }
+
+    /// Runs the engine's systems once.
+    pub fn tick(&self) {
+        self.with(Engine::tick);
+    }
+
+    /// Hands in a task.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine refuses it at once.
+    pub fn submit_task(&self, task: TaskSubmission) -> Result<oneshot::Receiver<Resolution>, NotRun> {
+        self.proposed(|engine, now| engine.submit_task(now, task))
+    }
+
+    /// Proposes a record.
+    pub fn propose(&self, record: Record) -> oneshot::Receiver<Resolution> {
+        let proposed = self.proposed(|engine, now| Ok::<_, NotRun>(engine.propose(now, record)));
+        proposed.unwrap_or_else(|_| oneshot::channel().1)
+    }
+
+    fn proposed<E>(
+        &self,
+        propose: impl FnOnce(&mut Engine, Millis) -> Result<Ticket, E>,
+    ) -> Result<oneshot::Receiver<Resolution>, E> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.lock();
+        let ticket = propose(&mut state.engine, self.now())?;
+        state.resolutions.insert(ticket, sender);
+        self.finish(state);
+        Ok(receiver)
+    }
+
+    fn submit(&self, submission: Submission) -> (Handle, oneshot::Receiver<Decision>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.lock();
+        let key = state.engine.submit(self.now(), submission);
+        let handle = Handle { epoch: state.epoch, key };
+        state.decisions.insert(key, sender);
+        self.finish(state);
+        (handle, receiver)
+    }
+
+    /// Reports the end of an attempt and waits for the next decision. The receiver is closed if the engine was
+    /// replaced in the meantime.
+    fn attempt_ended(&self, handle: Handle, end: AttemptEnd) -> oneshot::Receiver<Decision> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.lock();
+        if state.epoch == handle.epoch {
+            state.decisions.insert(handle.key, sender);
+            state.engine.handle(self.now(), Event::RequestEnded { request: handle.key, end });
+            self.finish(state);
+        }
+        receiver
+    }
+
+    /// Passes an event about a request whose handler waits no more.
+    fn last_event(&self, handle: Handle, event: Event) {
+        let mut state = self.state.lock();
+        if state.epoch == handle.epoch {
+            state.decisions.remove(&handle.key);
+            state.engine.handle(self.now(), event);
+            self.finish(state);
+        }
+    }
+
+    fn with(&self, act: impl FnOnce(&mut Engine, Millis)) {
+        let mut state = self.state.lock();
+        act(&mut state.engine, self.now());
+        self.finish(state);
+    }
+
+    /// Routes the engine's commands, then releases the mutex and passes the others on.
+    fn finish(&self, mut state: parking_lot::MutexGuard<'_, State>) {
+        let mut others = state.route();
+        let rejoin = others.iter().any(|command| matches!(command, Command::Rejoin));
+        if rejoin {
+            state.rejoin(self.now());
+            others.extend(state.route());
+        }
+        drop(state);
+        for command in others {
+            self.outbox.put(self, command);
+        }
+    }
+}
+
+impl State {
+    fn route(&mut self) -> Vec<Command> {
+        let mut others = Vec::new();
+        for command in self.engine.take_commands() {
+            match command {
+                Command::Send(send) => self.decide(send.request, Decision::Send(send)),
+                Command::Refuse { request, refusal } => self.decide(request, Decision::Refuse(refusal)),
+                Command::Resolve { ticket, result } => self.resolve(ticket, result),
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    fn decide(&mut self, request: RequestKey, decision: Decision) {
+        if let Some(sender) = self.decisions.remove(&request) {
+            let _ = sender.send(decision);
+        }
+    }
+
+    fn resolve(&mut self, ticket: Ticket, result: Resolution) {
+        if let Some(sender) = self.resolutions.remove(&ticket) {
+            let _ = sender.send(result);
+        }
+    }
+
+    /// Replaces the engine by one with another nonce that goes on from the same replica. Waiting handlers see
+    /// their channels closed.
+    fn rejoin(&mut self, now: Millis) {
+        let options = Options { nonce: rand::random(), ..self.engine.options().clone() };
+        log::warn!("this incarnation has ended in the log; joining again with nonce {}", options.nonce);
+        let fleet = self.engine.fleet().clone();
+        self.engine = Engine::new(options, rand::random());
+        self.engine.handle(now, Event::Restored(Box::new(fleet)));
+        self.epoch += 1;
+        self.decisions.clear();
+        self.resolutions.clear();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shell/request.rs
@@ -0,0 +1,87 @@
+//! One request of a caller, from its submission to its end.
+
+use std::sync::Arc;
+
+use rattanfall_core::engine::Event;
+use rattanfall_core::engine::event::{AttemptEnd, Submission};
+use tokio::sync::oneshot;
+
+use super::{Decision, Handle, Shell};
+
+/// Request that the engine knows. Dropping it tells the engine that the caller is gone.
+#[derive(Debug)]
+pub struct Request {
+    shell: Arc<Shell>,
+    handle: Handle,
+    phase: Phase,
+}
+
+#[derive(Debug)]
+enum Phase {
+    Waiting(oneshot::Receiver<Decision>),
+    Running,
+    Closed,
+}
+
+impl Request {
+    /// Submits work.
+    #[must_use]
+    pub fn submit(shell: &Arc<Shell>, submission: Submission) -> Self {
+        let (handle, receiver) = shell.submit(submission);
+        Self { shell: Arc::clone(shell), handle, phase: Phase::Waiting(receiver) }
+    }
+
+    /// Waits for the next decision. `None` if the engine was replaced; nothing runs then.
+    pub async fn decision(&mut self) -> Option<Decision> {
+        let Phase::Waiting(receiver) = &mut self.phase else {
+            return None;
+        };
+        let decision = receiver.await.ok();
+        self.phase = match decision {
+            Some(Decision::Send(_)) => Phase::Running,
+            Some(Decision::Refuse(_)) | None => Phase::Closed,
+        };
+        decision
+    }
+
+    /// Reports that an attempt ended without an answer for the caller; another decision follows.
+    pub fn attempt_ended(&mut self, end: AttemptEnd) {
+        self.phase = Phase::Waiting(self.shell.attempt_ended(self.handle, end));
+    }
+
+    /// Reports that the answer was passed on.
+    pub fn answered(mut self, failed: bool) {
+        self.end(AttemptEnd::Answered { failed });
+    }
+
+    /// Reports that an attempt ended and that no other attempt is possible: part of the answer was passed on, or
+    /// the request's body is used up.
+    pub fn broke_off(mut self, end: AttemptEnd) {
+        self.end(end);
+        self.shell.last_event(self.handle, Event::RequestCancelled(self.handle.key));
+    }
+
+    fn end(&mut self, end: AttemptEnd) {
+        self.phase = Phase::Closed;
+        self.shell.last_event(self.handle, Event::RequestEnded { request: self.handle.key, end });
+    }
+}
+
+impl Drop for Request {
+    fn drop(&mut self) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Closed);
+        if matches!(phase, Phase::Closed) {
+            return;
+        }
+        self.shell.last_event(self.handle, Event::RequestCancelled(self.handle.key));
+        match phase {
+            Phase::Running => self.end(AttemptEnd::Broken),
+            Phase::Waiting(mut receiver) => {
+                if matches!(receiver.try_recv(), Ok(Decision::Send(_))) {
+                    self.end(AttemptEnd::Unsent);
+                }
+            }
+            Phase::Closed => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shell/tick.rs
@@ -0,0 +1,19 @@
+//! Ticks of the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanfall_core::engine::TICK_MS;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::Shell;
+
+/// Ticks the engine until the task is aborted. After a pause it ticks once, not once for each missed interval.
+pub async fn run_ticks(shell: Arc<Shell>) {
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shell.tick();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/body.rs
@@ -0,0 +1,90 @@
+//! Request bodies on their way to a worker.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use super::BodyError;
+
+/// Parts of a body that wait for the connection. Bounds the memory of one upload.
+const FEED_PARTS: usize = 4;
+
+/// Reason why a streamed body breaks off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the request body ended early")]
+pub(super) struct EndedEarly;
+
+/// Body of a request to a worker. Its length is always known.
+#[derive(Debug)]
+pub enum SendBody {
+    /// Kept body; can be sent again.
+    Whole(Option<Bytes>),
+    /// Body that is passed on while it arrives.
+    Stream {
+        /// Parts.
+        parts: mpsc::Receiver<Bytes>,
+        /// Bytes that are still to come.
+        left: u64,
+    },
+}
+
+/// Sending half of a streamed body.
+pub type Feed = mpsc::Sender<Bytes>;
+
+/// Creates a streamed body of a known length.
+#[must_use]
+pub fn feed(length: u64) -> (Feed, SendBody) {
+    let (sender, parts) = mpsc::channel(FEED_PARTS);
+    (sender, SendBody::Stream { parts, left: length })
+}
+
+impl SendBody {
+    /// Body of bytes.
+    #[must_use]
+    pub const fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl Body for SendBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Stream { left: 0, .. } => Poll::Ready(None),
+            Self::Stream { parts, left } => match ready!(parts.poll_recv(cx)) {
+                Some(part) if part.len() as u64 <= *left => {
+                    *left -= part.len() as u64;
+                    Poll::Ready(Some(Ok(Frame::data(part))))
+                }
+                _ => Poll::Ready(Some(Err(EndedEarly.into()))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream { left, .. } => *left == 0,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Self::Stream { left, .. } => SizeHint::with_exact(*left),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/exchange.rs
@@ -0,0 +1,161 @@
+//! One attempt of a request on one connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use rattanfall_core::engine::event::{AttemptEnd, WorkerRefusal};
+use rattanfall_wire::worker::{REFUSED_HEADER, REQUEST_ID_HEADER, parse_refusal};
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::{Connection, Pool, SendBody};
+
+/// Time for a kept connection to become ready. Its task has only to note that the last answer has ended.
+const READY: Duration = Duration::from_millis(100);
+
+/// Answer whose head has arrived. Dropping it before [`Answer::release`] closes the connection.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    pool: Arc<Pool>,
+    address: String,
+    connection: Connection,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+/// End of an attempt without an answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// Nothing was sent; the request is handed back.
+    Unsent(Box<Request<SendBody>>),
+    /// The worker refused; the request did not run.
+    Refused(WorkerRefusal),
+    /// The connection broke after the request was sent.
+    Broken,
+    /// The deadline passed after the request was sent.
+    TimedOut,
+    /// The answer is malformed or belongs to another request.
+    Corrupt,
+}
+
+impl From<&Failure> for AttemptEnd {
+    fn from(failure: &Failure) -> Self {
+        match failure {
+            Failure::Unsent(_) => Self::Unsent,
+            Failure::Refused(refusal) => Self::Refused(*refusal),
+            Failure::Broken => Self::Broken,
+            Failure::TimedOut => Self::TimedOut,
+            Failure::Corrupt => Self::Corrupt,
+        }
+    }
+}
+
+impl Answer {
+    /// Gives the connection back after the whole body was read.
+    pub fn release(self) {
+        self.pool.keep(&self.address, self.connection);
+    }
+}
+
+/// Sends a request to a worker and waits for the head of its answer.
+///
+/// The request carries its id; an answer with another id is corrupt, because a late answer to an earlier request
+/// could otherwise reach the wrong caller.
+///
+/// # Errors
+///
+/// Fails as [`Failure`] says. The connection is closed unless the failure is a refusal.
+pub async fn exchange(
+    pool: &Arc<Pool>,
+    address: &str,
+    request: Request<SendBody>,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
+    let Ok(Some(permit)) = timeout_at(deadline, pool.permit(address)).await else {
+        return Err(Failure::Unsent(Box::new(request)));
+    };
+    let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+    let (connection, response) = send_once(pool, address, request, deadline).await?;
+    if response.headers().get(REQUEST_ID_HEADER) != id.as_ref() {
+        return Err(Failure::Corrupt);
+    }
+    let pool = Arc::clone(pool);
+    let answer = Answer { response, pool, address: address.into(), connection, _permit: Some(permit) };
+    match refusal(answer.response.status(), answer.response.headers()) {
+        Some(refusal) => {
+            release_refused(answer).await;
+            Err(Failure::Refused(refusal))
+        }
+        None if !has_length(&answer.response) => Err(Failure::Corrupt),
+        None => Ok(answer),
+    }
+}
+
+/// Sends on an idle connection, and on a fresh one if the idle one turns out to be closed.
+pub(super) async fn send_once(
+    pool: &Arc<Pool>,
+    address: &str,
+    mut request: Request<SendBody>,
+    deadline: Instant,
+) -> Result<(Connection, Response<Incoming>), Failure> {
+    while let Some(mut connection) = pool.take_idle(address) {
+        if !matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(()))) {
+            continue;
+        }
+        match send_on(connection, request, deadline).await {
+            Err(Failure::Unsent(returned)) => request = *returned,
+            result => return result,
+        }
+    }
+    match timeout_at(deadline, pool.open(address)).await {
+        Ok(Ok(connection)) => send_on(connection, request, deadline).await,
+        _ => Err(Failure::Unsent(Box::new(request))),
+    }
+}
+
+async fn send_on(
+    mut connection: Connection,
+    request: Request<SendBody>,
+    deadline: Instant,
+) -> Result<(Connection, Response<Incoming>), Failure> {
+    match timeout_at(deadline, connection.sender.try_send_request(request)).await {
+        Ok(Ok(response)) => Ok((connection, response)),
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(request) => Err(Failure::Unsent(Box::new(request))),
+            None if error.error().is_parse() => Err(Failure::Corrupt),
+            None => Err(Failure::Broken),
+        },
+        Err(_) => Err(Failure::TimedOut),
+    }
+}
+
+/// Reads the few bytes of a refusal so that the connection can be kept.
+async fn release_refused(mut answer: Answer) {
+    use http_body_util::BodyExt;
+    let read = async {
+        while let Some(frame) = answer.response.body_mut().frame().await {
+            frame.ok()?;
+        }
+        Some(())
+    };
+    if matches!(timeout(READY, read).await, Ok(Some(()))) {
+        answer.release();
+    }
+}
+
+fn refusal(status: StatusCode, headers: &HeaderMap) -> Option<WorkerRefusal> {
+    let text = headers.get(REFUSED_HEADER).map(HeaderValue::to_str)?.ok()?;
+    if status == StatusCode::SERVICE_UNAVAILABLE { parse_refusal(text) } else { None }
+}
+
+/// True if the end of the body can be told from a broken connection.
+fn has_length(response: &Response<Incoming>) -> bool {
+    use hyper::body::Body;
+    let headers = response.headers();
+    let marked =
+        headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING);
+    marked || response.body().is_end_stream()
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/json.rs
@@ -0,0 +1,105 @@
+//! Short calls with JSON bodies, to workers and to the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
+
+use super::exchange::send_once;
+use super::{Failure, Pool, SendBody};
+
+/// Largest answer that is read. A page of the log with 256 KiB entries in base64 fits.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Call to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// JSON body; empty if there is none.
+    pub body: Bytes,
+    /// Time limit.
+    pub limit: Duration,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[error("no connection could be made")]
+    Unsent,
+    /// What was sent may have taken effect.
+    #[error("there was no complete answer")]
+    NoAnswer,
+}
+
+impl Call {
+    /// Call without a body.
+    #[must_use]
+    pub fn new(method: Method, path: impl Into<String>, limit: Duration) -> Self {
+        Self { method, path: path.into(), body: Bytes::new(), limit }
+    }
+
+    /// Adds a JSON body.
+    #[must_use]
+    pub fn json(mut self, body: &impl Serialize) -> Self {
+        self.body = serde_json::to_vec(body).unwrap_or_default().into();
+        self
+    }
+}
+
+/// Status and body of an answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Parses the body of a 2xx answer.
+    #[must_use]
+    pub fn parse<T: DeserializeOwned>(&self) -> Option<T> {
+        if self.status.is_success() { serde_json::from_slice(&self.body).ok() } else { None }
+    }
+}
+
+/// Makes a call on an idle connection or on a fresh one. Calls do not wait for a request's connection, so that a
+/// worker whose connections are all in use can still renew a lease.
+///
+/// # Errors
+///
+/// Fails if no complete answer arrives in time.
+pub async fn call(pool: &Arc<Pool>, address: &str, call: Call) -> Result<Reply, CallError> {
+    let deadline = Instant::now() + call.limit;
+    let request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(header::HOST, address)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(SendBody::whole(call.body))
+        .map_err(|_| CallError::Unsent)?;
+    let (connection, response) = match send_once(pool, address, request, deadline).await {
+        Ok(sent) => sent,
+        Err(Failure::Unsent(_)) => return Err(CallError::Unsent),
+        Err(_) => return Err(CallError::NoAnswer),
+    };
+    let (head, body) = response.into_parts();
+    let collected = timeout_at(deadline, Limited::new(body, ANSWER_BYTES).collect()).await;
+    let Ok(Ok(body)) = collected else {
+        return Err(CallError::NoAnswer);
+    };
+    pool.keep(address, connection);
+    Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/orders.rs
@@ -0,0 +1,128 @@
+//! Calls to workers about tasks, and probes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http::Method;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use rattanfall_core::engine::command::{TaskOrder, TaskVerb};
+use rattanfall_core::engine::event::{TaskAnswer, TaskReport, WorkerRefusal};
+use rattanfall_wire::worker::{
+    AskLease, Lease, REFUSED_HEADER, RunState, StartTask, TaskStatus, parse_refusal,
+};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{Call, CallError, Pool, Reply, SendBody, call};
+use crate::shell::Shell;
+
+/// Time limit of one call to a worker about a task.
+const CALL: Duration = Duration::from_secs(2);
+/// Time limit of a probe, connect included.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Carries out an order and returns what the worker said.
+pub async fn run_order(shell: &Shell, pool: &Arc<Pool>, order: TaskOrder) -> TaskReport {
+    let TaskOrder { task, attempt, worker, address, verb } = order;
+    let id = task.to_string();
+    let owner = shell.member().map_or(0, |member| member.0);
+    let ask = AskLease { task: id.clone(), attempt, owner, pool: String::new() };
+    let asked = shell.now();
+    let leased = |reply: &Reply| {
+        let lease: Lease = reply.parse()?;
+        Some(TaskAnswer::Leased { lease: lease.lease, ttl_ms: lease.ttl_ms, asked })
+    };
+    let status = |reply: &Reply| status_answer(reply, attempt);
+    let answer = match verb {
+        TaskVerb::Lease { pool: name } => {
+            let request =
+                Call::new(Method::POST, "/worker/leases", CALL).json(&AskLease { pool: name, ..ask });
+            answer(call(pool, &address, request).await, leased)
+        }
+        TaskVerb::Renew { lease } => {
+            let request = Call::new(Method::POST, format!("/worker/leases/{lease}/renew"), CALL).json(&ask);
+            answer(call(pool, &address, request).await, leased)
+        }
+        TaskVerb::Start { lease, payload, checkpoint } => {
+            let payload = STANDARD.encode(payload);
+            let checkpoint = checkpoint.map(|bytes| STANDARD.encode(bytes));
+            let start = StartTask { lease, task: id, attempt, payload, checkpoint };
+            let request = Call::new(Method::POST, "/worker/tasks", CALL).json(&start);
+            answer(call(pool, &address, request).await, |_| Some(TaskAnswer::Running))
+        }
+        TaskVerb::Query => {
+            let request = Call::new(Method::GET, format!("/worker/tasks/{id}"), CALL);
+            answer(call(pool, &address, request).await, status)
+        }
+        TaskVerb::Stop => {
+            let request = Call::new(Method::DELETE, format!("/worker/tasks/{id}"), CALL);
+            answer(call(pool, &address, request).await, status)
+        }
+    };
+    TaskReport { task, attempt, worker, answer }
+}
+
+fn answer(reply: Result<Reply, CallError>, parse: impl FnOnce(&Reply) -> Option<TaskAnswer>) -> TaskAnswer {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(CallError::Unsent) => return TaskAnswer::Unsent,
+        Err(CallError::NoAnswer) => return TaskAnswer::NoAnswer,
+    };
+    if let Some(refusal) = refusal(&reply) {
+        return TaskAnswer::Refused(refusal);
+    }
+    if !reply.status.is_success() {
+        return TaskAnswer::NoAnswer;
+    }
+    parse(&reply).unwrap_or(TaskAnswer::NoAnswer)
+}
+
+fn refusal(reply: &Reply) -> Option<WorkerRefusal> {
+    let text = reply.headers.get(REFUSED_HEADER)?.to_str().ok()?;
+    parse_refusal(text)
+}
+
+/// What a worker's status says about an attempt. The status is about the worker's last attempt: an earlier one
+/// means that ours never started, a later one that ours has stopped.
+fn status_answer(reply: &Reply, attempt: u32) -> Option<TaskAnswer> {
+    let status: TaskStatus = reply.parse()?;
+    if status.attempt < attempt {
+        return Some(TaskAnswer::Never);
+    }
+    if status.attempt > attempt {
+        return Some(TaskAnswer::Stopped { checkpoint: None });
+    }
+    Some(match status.state {
+        RunState::Never => TaskAnswer::Never,
+        RunState::Running => TaskAnswer::Running,
+        RunState::Done => TaskAnswer::Done(decode(status.result)?),
+        RunState::Failed => TaskAnswer::Failed(status.reason.unwrap_or_else(|| "no reason given".into())),
+        RunState::Stopped => {
+            TaskAnswer::Stopped { checkpoint: status.checkpoint.and_then(|c| decode(Some(c))) }
+        }
+    })
+}
+
+fn decode(text: Option<String>) -> Option<Vec<u8>> {
+    STANDARD.decode(text.unwrap_or_default()).ok()
+}
+
+/// True if the address answers a status call on a fresh connection.
+pub async fn probe(address: &str) -> bool {
+    timeout(PROBE, try_probe(address)).await.ok().flatten().is_some()
+}
+
+async fn try_probe(address: &str) -> Option<()> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = handshake::<_, SendBody>(TokioIo::new(stream)).await.ok()?;
+    let request = http::Request::get("/worker/status").header(http::header::HOST, address);
+    let request = request.body(SendBody::Whole(None)).ok()?;
+    let response = async { sender.send_request(request).await.ok().filter(|r| r.status().is_success()) };
+    tokio::select! {
+        response = response => response.map(|_| ()),
+        _ = connection => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/pool.rs
@@ -0,0 +1,127 @@
+//! Connections to workers. Each address has a bounded number of connections for requests.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread::ThreadId;
+use std::time::Instant;
+
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::SendBody;
+use crate::config::UpstreamConfig;
+
+/// Connections by address.
+#[derive(Debug)]
+pub struct Pool {
+    config: UpstreamConfig,
+    hosts: Mutex<HashMap<String, Host>>,
+}
+
+#[derive(Debug)]
+struct Host {
+    permits: Arc<Semaphore>,
+    idle: Vec<Idle>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Open connection. Dropping it closes it at once, whatever is in flight.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) sender: SendRequest<SendBody>,
+    task: AbortHandle,
+    thread: ThreadId,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Pool {
+    /// Creates an empty pool.
+    #[must_use]
+    pub fn new(config: UpstreamConfig) -> Arc<Self> {
+        Arc::new(Self { config, hosts: Mutex::new(HashMap::new()) })
+    }
+
+    /// Waits for the right to use one of the address's connections.
+    pub(super) async fn permit(&self, address: &str) -> Option<OwnedSemaphorePermit> {
+        let permits =
+            Arc::clone(&self.hosts.lock().entry(address.into()).or_insert_with(|| self.host()).permits);
+        permits.acquire_owned().await.ok()
+    }
+
+    fn host(&self) -> Host {
+        Host { permits: Arc::new(Semaphore::new(self.config.connections)), idle: Vec::new() }
+    }
+
+    /// Takes an idle connection. Prefers one whose task runs on this thread, which saves a wake-up of another.
+    pub(super) fn take_idle(&self, address: &str) -> Option<Connection> {
+        let mut hosts = self.hosts.lock();
+        let idle = &mut hosts.get_mut(address)?.idle;
+        idle.retain(|idle| self.usable(idle));
+        let thread = std::thread::current().id();
+        let near = idle.iter().rposition(|idle| idle.connection.thread == thread);
+        let index = near.or_else(|| idle.len().checked_sub(1))?;
+        Some(idle.swap_remove(index).connection)
+    }
+
+    fn usable(&self, idle: &Idle) -> bool {
+        idle.since.elapsed() < self.config.idle && !idle.connection.sender.is_closed()
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address does not accept in time. Nothing was sent.
+    pub async fn open(&self, address: &str) -> std::io::Result<Connection> {
+        let connect = async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
+        };
+        let connected = timeout(self.config.connect, connect).await;
+        let (sender, connection) = connected.map_err(|_| std::io::ErrorKind::TimedOut)??;
+        let task = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, task: task.abort_handle(), thread: std::thread::current().id() })
+    }
+
+    /// Keeps a connection whose last answer is complete.
+    pub(super) fn keep(&self, address: &str, connection: Connection) {
+        let mut hosts = self.hosts.lock();
+        let host = hosts.entry(address.into()).or_insert_with(|| self.host());
+        if host.idle.len() < self.config.connections && !connection.sender.is_closed() {
+            host.idle.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes idle connections that are too old and forgets addresses without connections.
+    pub fn sweep(&self) {
+        self.hosts.lock().retain(|_, host| {
+            host.idle.retain(|idle| self.usable(idle));
+            let unused = host.permits.available_permits() == self.config.connections;
+            !host.idle.is_empty() || !unused || Arc::strong_count(&host.permits) > 1
+        });
+    }
+
+    /// Open connections without a request, over all addresses.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.hosts.lock().values().map(|host| host.idle.len()).sum()
+    }
+}
