Move a started task's slot to its new owner and keep the longest deadline

Cause: after a member is gone, the new owner of a started task renews its lease, so the task may run on after the dead member's hold was reclaimed, and the team could run one more than its upper limit. Ruled out: leaving the lease to lapse, which restarts every long task when its owner is replaced. Change: reassign_tasks moves one slot with each started task; the fleet keeps the longest request deadline ever allowed. Conclusion: use of a new owner is always covered by a hold.

--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -17,6 +17,10 @@
         self.update_teams(declaration);
         self.update_pools(declaration);
         self.declaration = declaration.clone();
+        self.deadline_cap_ms = self.deadline_cap_ms.max(declaration.defaults.deadline_cap_ms);
+        for exception in declaration.exceptions.iter().filter(|e| e.field == "deadline_cap_ms") {
+            self.deadline_cap_ms = self.deadline_cap_ms.max(exception.value);
+        }
         self.version += 1;
         Ok(Effect::Configured(self.version))
     }
--- a/crates/core/src/fleet/holds.rs
+++ b/crates/core/src/fleet/holds.rs
@@ -66,6 +66,13 @@
         Ok(())
     }
 
+    /// Moves one slot between members; nothing moves if `from` holds none.
+    pub(super) fn move_slot(&mut self, team: TeamId, from: MemberId, to: MemberId) {
+        if self.take_hold(from, team, 1).is_ok() {
+            *self.holds.entry((team, to)).or_default() += 1;
+        }
+    }
+
     /// Frees the holds of a gone member. The author waited until no work of that member can run.
     pub(super) fn reclaim(&mut self, id: MemberId) -> Result<Effect, VoidReason> {
         let member = self.members.get(&id).ok_or(VoidReason::Unknown("member"))?;
--- a/crates/core/src/fleet/members.rs
+++ b/crates/core/src/fleet/members.rs
@@ -48,8 +48,8 @@
     pub(super) fn leave(&mut self, author: MemberId) -> Result<Effect, VoidReason> {
         let member = self.members.get_mut(&author).ok_or(VoidReason::Unknown("member"))?;
         member.state = MemberState::Left;
-        self.drop_holds(author);
         self.reassign_tasks();
+        self.drop_holds(author);
         Ok(Effect::Done)
     }
 
@@ -77,16 +77,27 @@
     }
 
     /// Gives every unended task of a member that is not live to a live one, by rendezvous hashing.
+    ///
+    /// A started task takes one slot of its old owner's hold along: the new owner may renew its lease, so it may
+    /// still run when the rest of the hold is reclaimed.
     fn reassign_tasks(&mut self) {
         let live: Vec<MemberId> = self.live_members().collect();
+        let mut moved = Vec::new();
         for (id, task) in &mut self.tasks {
             let ended = matches!(task.state, TaskState::Ended { .. });
             if ended || live.binary_search(&task.owner).is_ok() {
                 continue;
             }
-            if let Some(owner) = live.iter().max_by_key(|member| rendezvous_weight(*id, **member)) {
-                task.owner = *owner;
+            let Some(owner) = live.iter().max_by_key(|member| rendezvous_weight(*id, **member)) else {
+                continue;
+            };
+            if matches!(task.state, TaskState::Started { .. }) {
+                moved.push((task.team, task.owner, *owner));
             }
+            task.owner = *owner;
+        }
+        for (team, from, to) in moved {
+            self.move_slot(team, from, to);
         }
     }
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -36,6 +36,9 @@
     pub version: u64,
     /// Declaration in force.
     pub declaration: Declaration,
+    /// Longest request deadline that any declaration so far allowed, in milliseconds. Bounds how long a request of a
+    /// gone member can still run.
+    pub deadline_cap_ms: u64,
     /// Incarnations of entry instances.
     pub members: BTreeMap<MemberId, Member>,
     /// Teams; a team that leaves the declaration keeps its row with limit 0.
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -101,7 +101,8 @@
     ) -> Result<Effect, VoidReason> {
         let task = self.owned_task(author, id)?;
         let current = match task.state {
-            TaskState::Waiting => attempt == task.attempts || attempt == 0,
+            // An idempotent task may have run although its start record was void.
+            TaskState::Waiting => attempt == task.attempts || attempt == 0 || task.idempotent,
             TaskState::Started { attempt: started, .. } => attempt == started,
             TaskState::Ended { .. } => false,
         };
