--- /dev/null
+++ b/crates/core/src/share/allocation.rs
@@ -0,0 +1,157 @@
+//! Weighted max-min allocation in whole slots.
+
+use std::cmp::{Ordering, Reverse};
+
+/// Work and weight of one team in one pool, over the fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Weight of the team. A team of weight 0 gets only what the others leave.
+    pub share: u32,
+    /// Running and waiting work, in slots.
+    pub demand: u32,
+    /// Upper limit of the team, in slots.
+    pub limit: u32,
+}
+
+impl Demand {
+    /// Slots that the team can use.
+    #[must_use]
+    pub fn usable(&self) -> u32 {
+        self.demand.min(self.limit)
+    }
+}
+
+/// Weight and cap of one claimant; `index` is its place in the input.
+#[derive(Clone, Copy)]
+struct Claim {
+    index: usize,
+    weight: u64,
+    cap: u64,
+}
+
+/// What is left for the claims that the level leaves unsatisfied.
+struct Rest {
+    claims: Vec<Claim>,
+    capacity: u64,
+    weight: u64,
+}
+
+/// Weighted max-min allocation of a capacity, in whole slots and in the order of the input.
+///
+/// The sum is the capacity or all that can be used, whichever is less. Fractions go to the largest remainders; ties
+/// go to the earlier team, so members that order teams alike agree.
+#[must_use]
+pub fn allocate(capacity: u32, demands: &[Demand]) -> Vec<u32> {
+    let mut slots = vec![0; demands.len()];
+    let mut left = u64::from(capacity);
+    for claims in tiers(demands) {
+        let rest = fill(left, claims, |claim| slots[claim.index] = narrow(claim.cap));
+        let used: u64 = share_out(&rest, &mut slots);
+        left = rest.capacity - used;
+    }
+    slots
+}
+
+/// Weighted max-min allocation in fractions of slots: what each team is owed.
+///
+/// A team's owed use accrues at this rate, so that what [`allocate`] rounds away comes back over time.
+#[must_use]
+pub fn entitlement(capacity: u32, demands: &[Demand]) -> Vec<f64> {
+    let mut slots = vec![0.0; demands.len()];
+    let mut left = u64::from(capacity);
+    for claims in tiers(demands) {
+        let rest = fill(left, claims, |claim| slots[claim.index] = float(claim.cap));
+        for claim in &rest.claims {
+            slots[claim.index] = float(rest.capacity) * float(claim.weight) / float(rest.weight);
+        }
+        left = if rest.claims.is_empty() { rest.capacity } else { 0 };
+    }
+    slots
+}
+
+/// Parts of a team's allocation for each member, in proportion to their own demand. The sum is the allocation or the
+/// whole demand, whichever is less.
+#[must_use]
+pub fn parts(allocation: u32, own: &[u32]) -> Vec<u32> {
+    let demands: Vec<Demand> =
+        own.iter().map(|&demand| Demand { share: demand, demand, limit: u32::MAX }).collect();
+    allocate(allocation, &demands)
+}
+
+/// Part of a team's allocation for one member; 0 if the index is out of range. Members list each other in the same
+/// order, so that their parts add up to the allocation.
+#[must_use]
+pub fn part(allocation: u32, own: &[u32], index: usize) -> u32 {
+    parts(allocation, own).get(index).copied().unwrap_or(0)
+}
+
+/// Claims with weight, then those without; the latter count alike.
+fn tiers(demands: &[Demand]) -> [Vec<Claim>; 2] {
+    let mut tiers = [Vec::new(), Vec::new()];
+    for (index, demand) in demands.iter().enumerate() {
+        let cap = u64::from(demand.usable());
+        let weight = u64::from(demand.share.max(1));
+        tiers[usize::from(demand.share == 0)].push(Claim { index, weight, cap });
+    }
+    tiers
+}
+
+/// Satisfies claims in the order of cap per weight while the level reaches their cap.
+fn fill(capacity: u64, mut claims: Vec<Claim>, mut satisfy: impl FnMut(&Claim)) -> Rest {
+    claims.sort_by(by_level);
+    let mut left = capacity;
+    let mut weight: u64 = claims.iter().map(|claim| claim.weight).sum();
+    let mut satisfied = 0;
+    for claim in &claims {
+        if wide(claim.cap, weight) > wide(left, claim.weight) {
+            break;
+        }
+        satisfy(claim);
+        left -= claim.cap;
+        weight -= claim.weight;
+        satisfied += 1;
+    }
+    Rest { claims: claims.split_off(satisfied), capacity: left, weight }
+}
+
+/// Gives the rest out by weight and largest remainder; returns the slots given. No claim exceeds its cap, because its
+/// fractional part of the rest is below the cap.
+fn share_out(rest: &Rest, slots: &mut [u32]) -> u64 {
+    if rest.claims.is_empty() {
+        return 0;
+    }
+    let weight = u128::from(rest.weight);
+    let mut given = 0;
+    let mut remainders = Vec::with_capacity(rest.claims.len());
+    for claim in &rest.claims {
+        let scaled = wide(rest.capacity, claim.weight);
+        let whole = u32::try_from(scaled / weight).unwrap_or(u32::MAX);
+        slots[claim.index] = whole;
+        given += u64::from(whole);
+        remainders.push((Reverse(scaled % weight), claim.index));
+    }
+    remainders.sort_unstable();
+    let missing = usize::try_from(rest.capacity - given).unwrap_or(usize::MAX);
+    for (_, index) in remainders.iter().take(missing) {
+        slots[*index] += 1;
+    }
+    rest.capacity
+}
+
+fn by_level(a: &Claim, b: &Claim) -> Ordering {
+    wide(a.cap, b.weight).cmp(&wide(b.cap, a.weight)).then(a.index.cmp(&b.index))
+}
+
+fn wide(a: u64, b: u64) -> u128 {
+    u128::from(a) * u128::from(b)
+}
+
+fn narrow(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
+/// Exact: every value here is a sum of few `u32`.
+#[expect(clippy::cast_precision_loss, reason = "sums of 32-bit numbers are far below 2^52")]
+fn float(value: u64) -> f64 {
+    value as f64
+}
