--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod fleet;
 pub mod ids;
 pub mod model;
+pub mod policy;
 pub mod record;
 pub mod share;
--- /dev/null
+++ b/crates/core/src/policy/judgement/window.rs
@@ -0,0 +1,96 @@
+//! Windowed outcomes of one worker.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::Outcome;
+use crate::engine::Millis;
+use crate::ids::TeamId;
+
+/// Length of one bucket, in milliseconds.
+const BUCKET_MS: u64 = 1_000;
+
+/// Buckets of a window: outcomes of the last 10 s count.
+const BUCKETS: u64 = 10;
+
+/// Failed jobs whose identity is remembered. Bounds the memory of a worker that fails at once; so many distinct jobs
+/// are evidence enough, and failures beyond count without a check for repetition.
+const JOBS_CAP: usize = 256;
+
+/// Jobs of one team on one worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Count {
+    /// Jobs that ran: successes and distinct failures.
+    pub(super) jobs: u32,
+    /// Distinct jobs that failed.
+    pub(super) failed: u32,
+}
+
+impl Count {
+    pub(super) fn rate(self) -> f64 {
+        f64::from(self.failed) / f64::from(self.jobs.max(1))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    number: u64,
+    counts: BTreeMap<TeamId, Count>,
+}
+
+/// Outcomes of the last 10 s.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Window {
+    buckets: VecDeque<Bucket>,
+    /// Failed jobs and the bucket of their first failure.
+    failed: BTreeMap<(TeamId, u64), u64>,
+}
+
+impl Window {
+    pub(super) fn add(&mut self, now: Millis, outcome: Outcome) {
+        self.expire(now);
+        let number = now.0 / BUCKET_MS;
+        if outcome.failed && !self.is_new(number, outcome) {
+            return;
+        }
+        if self.buckets.back().is_none_or(|bucket| bucket.number < number) {
+            self.buckets.push_back(Bucket { number, counts: BTreeMap::new() });
+        }
+        if let Some(bucket) = self.buckets.back_mut() {
+            let count = bucket.counts.entry(outcome.team).or_default();
+            count.jobs += 1;
+            count.failed += u32::from(outcome.failed);
+        }
+    }
+
+    /// Drops what is older than the window.
+    pub(super) fn expire(&mut self, now: Millis) {
+        let number = now.0 / BUCKET_MS;
+        let is_old = |first: u64| first + BUCKETS <= number;
+        if self.buckets.front().is_some_and(|bucket| is_old(bucket.number)) {
+            self.buckets.retain(|bucket| !is_old(bucket.number));
+            self.failed.retain(|_, first| !is_old(*first));
+        }
+    }
+
+    /// Counts per team.
+    pub(super) fn tally(&self) -> BTreeMap<TeamId, Count> {
+        let mut tally: BTreeMap<TeamId, Count> = BTreeMap::new();
+        for (team, count) in self.buckets.iter().flat_map(|bucket| &bucket.counts) {
+            let sum = tally.entry(*team).or_default();
+            sum.jobs += count.jobs;
+            sum.failed += count.failed;
+        }
+        tally
+    }
+
+    fn is_new(&mut self, number: u64, outcome: Outcome) -> bool {
+        let key = (outcome.team, outcome.job);
+        if self.failed.contains_key(&key) {
+            return false;
+        }
+        if self.failed.len() < JOBS_CAP {
+            self.failed.insert(key, number);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/placement/mod.rs
@@ -0,0 +1,113 @@
+//! Choice of a worker for one piece of work.
+
+use rand::{Rng, RngExt};
+
+/// Weight of a new run time in the learned mean. About 30 answers replace an old mean.
+const LEARN: f64 = 0.1;
+
+/// Time of a hop to another availability zone and back, in milliseconds (zones are 1 ms apart).
+const HOP_MS: f64 = 2.0;
+
+/// Largest part of a team's running work that one rack should hold.
+const RACK_PART: f64 = 0.5;
+
+/// Running work from which a team is spread over racks; less is too little to split.
+const RACK_MIN: u32 = 4;
+
+/// Difference in use, as a part of a worker's slots, from which another zone is preferred to the own one. Below it the
+/// imbalance is noise of the random choice; above it the own zone is about to refuse work for want of slots.
+const ZONE_BIAS: f64 = 0.5;
+
+/// Worker that takes work of the pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// True if the worker is in the zone of the entry instance.
+    pub own_zone: bool,
+    /// Work in flight on the worker, as far as known.
+    pub in_flight: u32,
+    /// Slots of the worker.
+    pub slots: u32,
+    /// Work that the team runs in the worker's rack.
+    pub team_in_rack: u32,
+    /// Learned run time on the worker, or else in its pool, in milliseconds.
+    pub run_ms: f64,
+}
+
+impl Candidate {
+    fn is_free(&self) -> bool {
+        self.in_flight < self.slots
+    }
+}
+
+/// Decayed mean of the run times of a pool or a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunTime {
+    mean: Option<f64>,
+}
+
+impl RunTime {
+    /// Learns the run time of one answer, in milliseconds.
+    pub fn learn(&mut self, ms: f64) {
+        self.mean = Some(self.mean.map_or(ms, |mean| mean + LEARN * (ms - mean)));
+    }
+
+    /// Learned run time, in milliseconds; `None` before the first answer.
+    #[must_use]
+    pub const fn mean_ms(&self) -> Option<f64> {
+        self.mean
+    }
+}
+
+/// Index of the worker that takes the next piece of work of a team; `None` if none has a free slot.
+///
+/// `team_running` is all work that the team runs in the pool. Two random workers of the preferred ones are compared:
+/// a comparison of all would send every entry instance to the same worker while counts are old.
+#[must_use]
+pub fn place<R: Rng + ?Sized>(candidates: &[Candidate], team_running: u32, rng: &mut R) -> Option<usize> {
+    let free: Vec<usize> = (0..candidates.len()).filter(|&i| candidates[i].is_free()).collect();
+    let spread = prefer(&free, |i| !crowded(&candidates[i], team_running));
+    let near = prefer(&spread, |i| candidates[i].own_zone);
+    let cost = |i: usize| expected_ms(&candidates[i]);
+    let first = best_of_two(&near, cost, rng)?;
+    if near.len() == spread.len() {
+        return Some(first);
+    }
+    let far: Vec<usize> = spread.into_iter().filter(|&i| !candidates[i].own_zone).collect();
+    let second = best_of_two(&far, cost, rng)?;
+    let bias = HOP_MS + ZONE_BIAS * candidates[second].run_ms;
+    Some(if cost(second) + bias < cost(first) { second } else { first })
+}
+
+/// The members that satisfy a preference, or all if none does.
+fn prefer(indices: &[usize], wanted: impl Fn(usize) -> bool) -> Vec<usize> {
+    let chosen: Vec<usize> = indices.iter().copied().filter(|&i| wanted(i)).collect();
+    if chosen.is_empty() { indices.to_vec() } else { chosen }
+}
+
+fn crowded(candidate: &Candidate, team_running: u32) -> bool {
+    team_running >= RACK_MIN && f64::from(candidate.team_in_rack) >= RACK_PART * f64::from(team_running)
+}
+
+/// Run time stretched by the use of the worker, plus the team's work in the same rack as a tie-break.
+fn expected_ms(candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let rack = f64::from(candidate.team_in_rack) / 1_000.0;
+    candidate.run_ms * f64::from(candidate.in_flight + 1) / slots + rack
+}
+
+fn best_of_two<R: Rng + ?Sized>(
+    indices: &[usize],
+    cost: impl Fn(usize) -> f64,
+    rng: &mut R,
+) -> Option<usize> {
+    let last = indices.len().checked_sub(1)?;
+    let first = rng.random_range(0..=last);
+    if last == 0 {
+        return Some(indices[0]);
+    }
+    // The second is drawn from the others.
+    let other = rng.random_range(0..last);
+    let second = if other >= first { other + 1 } else { other };
+    let (first, second) = (indices[first], indices[second]);
+    Some(if cost(second) < cost(first) { second } else { first })
+}
