--- a/crates/core/src/engine/event/mod.rs
+++ b/crates/core/src/engine/event/mod.rs
@@ -191,6 +191,8 @@
     pub attempt: u32,
     /// Worker.
     pub worker: WorkerId,
+    /// Random number of the worker's process, from its answer; 0 if there was none.
+    pub nonce: u64,
     /// Answer.
     pub answer: TaskAnswer,
 }
--- /dev/null
+++ b/crates/core/src/engine/holds/mod.rs
@@ -0,0 +1,107 @@
+//! Local use of the team limits: how much of each hold is running, promised to others or lingering.
+//!
+//! A [`Permit`] stands for one running slot. It can neither be copied nor dropped silently: whoever ends the work
+//! closes it, or lets it linger until the work can no longer run.
+
+use std::collections::BTreeMap;
+
+use super::Millis;
+use crate::ids::TeamId;
+
+/// Right to run one piece of work of a team.
+#[derive(Debug)]
+#[must_use = "a permit that is dropped counts as running for good"]
+pub(super) struct Permit {
+    team: Option<TeamId>,
+}
+
+impl Permit {
+    /// Right to nothing, for rows whose work has ended.
+    pub(super) const fn none() -> Self {
+        Self { team: None }
+    }
+
+    /// Ends the use of the slot.
+    pub(super) fn close(self, uses: &mut Uses) {
+        if let Some(running) = self.team.and_then(|team| uses.running.get_mut(&team)) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    /// Keeps the slot in use until `until`, for work that may still run although its answer is lost.
+    pub(super) fn linger(self, uses: &mut Uses, until: Millis) {
+        uses.lingering.push((until, self));
+    }
+}
+
+/// Use of the holds of one member, in slots.
+#[derive(Debug, Default)]
+pub(super) struct Uses {
+    running: BTreeMap<TeamId, u32>,
+    leaving: BTreeMap<TeamId, u32>,
+    lingering: Vec<(Millis, Permit)>,
+}
+
+impl Uses {
+    /// Takes a slot if the hold covers it. `held` is the hold of this member in the replicated state.
+    pub(super) fn open(&mut self, team: TeamId, held: u32) -> Option<Permit> {
+        if self.spare(team, held) == 0 {
+            return None;
+        }
+        Some(self.adopt(team))
+    }
+
+    /// Takes a slot for work that runs already, covered by a hold that came with it.
+    pub(super) fn adopt(&mut self, team: TeamId) -> Permit {
+        *self.running.entry(team).or_default() += 1;
+        Permit { team: Some(team) }
+    }
+
+    /// Slots of a team that run or may run.
+    pub(super) fn running(&self, team: TeamId) -> u32 {
+        self.running.get(&team).copied().unwrap_or(0)
+    }
+
+    /// Slots of the hold that are neither running nor promised to others.
+    pub(super) fn spare(&self, team: TeamId, held: u32) -> u32 {
+        held.saturating_sub(self.leaving(team)).saturating_sub(self.running(team))
+    }
+
+    /// Slots in give and release records that are not applied yet.
+    pub(super) fn leaving(&self, team: TeamId) -> u32 {
+        self.leaving.get(&team).copied().unwrap_or(0)
+    }
+
+    /// Lowers the own use before a give or release record is written.
+    pub(super) fn promise(&mut self, team: TeamId, slots: u32) {
+        *self.leaving.entry(team).or_default() += slots;
+    }
+
+    /// Ends a promise, because its record was applied or is void.
+    pub(super) fn settle(&mut self, team: TeamId, slots: u32) {
+        if let Some(leaving) = self.leaving.get_mut(&team) {
+            *leaving = leaving.saturating_sub(slots);
+        }
+    }
+
+    /// Closes lingering permits whose time has come; true if there was one.
+    pub(super) fn expire(&mut self, now: Millis) -> bool {
+        let mut kept = Vec::new();
+        let mut ended = false;
+        for (until, permit) in std::mem::take(&mut self.lingering) {
+            if until <= now {
+                permit.close(self);
+                ended = true;
+            } else {
+                kept.push((until, permit));
+            }
+        }
+        self.lingering = kept;
+        ended
+    }
+
+    /// True if work may still run although its answer is lost.
+    pub(super) fn lingers(&self) -> bool {
+        !self.lingering.is_empty()
+    }
+}
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -1,25 +1,49 @@
 //! State and decisions of one entry instance.
 //!
 //! The engine does no I/O. The process hands it [`Event`]s and the time, and carries out the [`Command`]s that it
-//! returns. Entities live in tables; systems run over the tables on each tick and when work ends.
+//! returns. Entities live in tables (`requests`, `runs`, `upstreams`, `peers`, `appends`, `shares`, `holds`); the systems in
+//! `systems` run over the tables on each tick and when work ends.
 
 pub mod command;
 pub mod event;
 pub mod options;
 pub mod view;
 
-pub use command::Command;
-pub use event::Event;
-pub use options::Options;
-pub use view::{Counters, View};
+mod appends;
+mod holds;
+mod peers;
+mod requests;
+mod runs;
+mod shares;
+mod systems;
+mod upstreams;
+
+use std::collections::BTreeMap;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::{Collector, Fleet, MemberState};
+use crate::ids::{MemberId, Offset, PoolId, TeamId, WorkerId};
+use crate::policy::judgement::Judgement;
+use crate::policy::retry::Budget;
+use crate::policy::surge::Planner;
+use crate::record::Record;
+use appends::Appends;
 use command::NotRun;
-use event::{Submission, TaskSubmission};
+use event::{List, Submission, TaskSubmission};
+use holds::Uses;
+use peers::Peers;
+use requests::Requests;
+use runs::Runs;
+use shares::Shares;
+use upstreams::Upstreams;
 
-use crate::fleet::Fleet;
-use crate::record::Record;
+pub use command::Command;
+pub use event::Event;
+pub use options::Options;
+pub use view::{Counters, View};
 
 /// Interval of ticks, in milliseconds.
 pub const TICK_MS: u64 = 50;
@@ -51,20 +75,97 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// Life cycle of this incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Reads the log or a snapshot; has not joined.
+    Starting,
+    /// Its join is on its way into the log; the time is that of the next append of it.
+    Joining(Millis),
+    /// Acts as this member.
+    Member(MemberId),
+    /// Ended in the log.
+    Ended,
+}
+
 /// State of one entry instance and the systems that run over it.
 #[derive(Debug)]
 pub struct Engine {
     options: Options,
+    rng: SmallRng,
+    phase: Phase,
+    stopping: bool,
     fleet: Fleet,
+    collector: Collector,
+    requests: Requests,
+    runs: Runs,
+    upstreams: Upstreams,
+    peers: Peers,
+    appends: Appends,
+    uses: Uses,
+    shares: Shares,
+    budgets: BTreeMap<TeamId, Budget>,
+    judgements: BTreeMap<PoolId, Judgement>,
+    planner: Planner,
+    list: Option<(Millis, List)>,
+    /// When this process first saw each member and each ended member.
+    seen: BTreeMap<MemberId, Millis>,
+    gone: BTreeMap<MemberId, Millis>,
+    /// When each worker entered maintenance and when its reboot was last ordered.
+    reboots: BTreeMap<WorkerId, (Millis, Option<Millis>)>,
+    /// When each shared duty became due; see `systems::duty`.
+    duties: BTreeMap<systems::Duty, Millis>,
+    /// When each team last lacked slots here.
+    needs: BTreeMap<TeamId, Millis>,
+    /// Since when the list does not show a worker.
+    absent: BTreeMap<WorkerId, Millis>,
+    log_end: Option<Millis>,
+    last_snapshot: Option<Offset>,
+    last_gossip: Millis,
+    digests: u64,
+    tickets: u64,
+    tasks: u32,
     counters: Counters,
+    commands: Vec<Command>,
 }
 
 impl Engine {
     /// Creates an engine that has neither state nor membership. `seed` feeds its random choices.
     #[must_use]
     pub fn new(options: Options, seed: u64) -> Self {
-        let _ = seed;
-        Self { options, fleet: Fleet::default(), counters: Counters::default() }
+        Self {
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            phase: Phase::Starting,
+            stopping: false,
+            fleet: Fleet::default(),
+            collector: Collector::default(),
+            requests: Requests::default(),
+            runs: Runs::default(),
+            upstreams: Upstreams::default(),
+            peers: Peers::default(),
+            appends: Appends::default(),
+            uses: Uses::default(),
+            shares: Shares::default(),
+            budgets: BTreeMap::new(),
+            judgements: BTreeMap::new(),
+            planner: Planner::default(),
+            list: None,
+            seen: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            reboots: BTreeMap::new(),
+            duties: BTreeMap::new(),
+            needs: BTreeMap::new(),
+            absent: BTreeMap::new(),
+            log_end: None,
+            last_snapshot: None,
+            last_gossip: Millis(0),
+            digests: 0,
+            tickets: 0,
+            tasks: 0,
+            counters: Counters::default(),
+            commands: Vec::new(),
+        }
     }
 
     /// Settings of the engine.
@@ -87,8 +188,7 @@
 
     /// Takes in a request. A `Send` or a `Refuse` command with its key follows, often at once.
     pub fn submit(&mut self, now: Millis, submission: Submission) -> RequestKey {
-        let _ = (now, submission);
-        RequestKey::default()
+        self.admit_request(now, submission)
     }
 
     /// Takes in a task. `Resolve` follows once the record has an offset.
@@ -97,35 +197,78 @@
     ///
     /// Fails if the task is refused at once; it did not run and will not run.
     pub fn submit_task(&mut self, now: Millis, submission: TaskSubmission) -> Result<Ticket, NotRun> {
-        let _ = (now, submission);
-        Err(NotRun::NotReady)
+        self.admit_task(now, submission)
     }
 
     /// Proposes a record on behalf of an operator. `Resolve` follows.
     pub fn propose(&mut self, now: Millis, record: Record) -> Ticket {
-        let _ = (now, record);
-        Ticket(0)
+        self.propose_for(now, record)
+    }
+
+    /// Team of a request that waits or runs.
+    #[must_use]
+    pub fn team_of(&self, request: RequestKey) -> Option<TeamId> {
+        self.requests.rows.get(request).map(|row| row.team)
     }
 
     /// Takes in an event.
     pub fn handle(&mut self, now: Millis, event: Event) {
-        let _ = (now, event);
+        match event {
+            Event::RequestEnded { request, end } => self.end_attempt(now, request, end),
+            Event::RequestCancelled(request) => self.cancel_request(now, request),
+            Event::LogBatch { offset, batch } => self.apply_batch(now, offset, &batch),
+            Event::LogCorrupt(offset) => self.pass_corrupt(offset),
+            Event::LogEnd => self.log_end = Some(now),
+            Event::AppendEnded { sequence, accepted } => self.appends.end_append(now, sequence, accepted),
+            Event::Restored(fleet) => self.restore(now, *fleet),
+            Event::List(list) => self.read_list(now, list),
+            Event::Digest(digest) => self.learn_digest(now, digest),
+            Event::TaskReport(report) => self.handle_report(now, report),
+            Event::Probed { worker, alive } => self.end_probe(now, worker, alive),
+            Event::Rebooted(worker) => self.end_reboot(now, worker),
+            Event::Stop => self.stopping = true,
+        }
     }
 
     /// Runs every system once. The process calls it each [`TICK_MS`].
     pub fn tick(&mut self, now: Millis) {
-        let _ = now;
+        self.run_membership(now);
+        self.expire(now);
+        self.run_shares(now);
+        self.run_holds(now);
+        self.run_workers(now);
+        self.run_tasks(now);
+        self.run_maintenance(now);
+        self.run_judgements(now);
+        self.run_moves(now);
+        self.run_snapshots(now);
+        self.schedule_all(now);
+        self.run_gossip(now);
+        self.run_stop(now);
+        self.run_appends(now);
     }
 
     /// Returns the commands since the last call, in order.
     pub fn take_commands(&mut self) -> Vec<Command> {
-        Vec::new()
+        std::mem::take(&mut self.commands)
     }
 
     /// What the instance knows and does now.
     #[must_use]
     pub fn view(&self, now: Millis) -> View {
-        let _ = now;
-        View::default()
+        self.make_view(now)
+    }
+
+    /// Member id while this incarnation may act.
+    fn member(&self) -> Option<MemberId> {
+        let Phase::Member(id) = self.phase else {
+            return None;
+        };
+        let live = self.fleet.members.get(&id).is_some_and(|m| m.state == MemberState::Live);
+        live.then_some(id)
+    }
+
+    fn emit(&mut self, command: Command) {
+        self.commands.push(command);
     }
 }
--- /dev/null
+++ b/crates/core/src/engine/requests/mod.rs
@@ -0,0 +1,128 @@
+//! Table of requests, and the queues of waiting work per pool and team.
+//!
+//! Cancelling removes the row in O(1); its place in a queue stays behind and is passed over when it is reached.
+
+mod queue;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use slotmap::SlotMap;
+
+use super::holds::Permit;
+use super::{Millis, RequestKey};
+use crate::ids::{KeyId, PoolId, TaskId, TeamId, WorkerId};
+use crate::record::Class;
+
+pub(super) use queue::TeamQueue;
+
+/// Waiting work: a request of a caller on the line, or an accepted task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Item {
+    Request(RequestKey),
+    Task(TaskId),
+}
+
+/// Row of a request.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) pool: PoolId,
+    pub(super) team: TeamId,
+    pub(super) key: Option<KeyId>,
+    pub(super) class: Class,
+    pub(super) idempotent: bool,
+    pub(super) deadline: Millis,
+    pub(super) attempts: u32,
+    pub(super) stage: Stage,
+}
+
+/// Life cycle of a request.
+#[derive(Debug)]
+pub(super) enum Stage {
+    Waiting,
+    Running { worker: WorkerId, permit: Permit, sent: Millis },
+}
+
+/// Requests and queues of one engine.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    pub(super) rows: SlotMap<RequestKey, Request>,
+    pub(super) queues: BTreeMap<(PoolId, TeamId), TeamQueue>,
+    deadlines: BinaryHeap<Reverse<(Millis, RequestKey)>>,
+}
+
+impl Requests {
+    /// Puts a waiting request at the end of its queue, or at the front after a refused attempt.
+    pub(super) fn enqueue(&mut self, key: RequestKey, front: bool) {
+        let Some(row) = self.rows.get(key) else {
+            return;
+        };
+        let queue = self.queues.entry((row.pool, row.team)).or_default();
+        queue.push(row.class, Item::Request(key), front);
+        self.deadlines.push(Reverse((row.deadline, key)));
+    }
+
+    /// Puts a task at the end of its queue.
+    pub(super) fn enqueue_task(&mut self, pool: PoolId, team: TeamId, class: Class, task: TaskId) {
+        self.queues.entry((pool, team)).or_default().push(class, Item::Task(task), false);
+    }
+
+    /// Removes a waiting request from the table and from its queue's count.
+    pub(super) fn remove_waiting(&mut self, key: RequestKey) -> Option<Request> {
+        let row = self.rows.remove(key)?;
+        if let Some(queue) = self.queues.get_mut(&(row.pool, row.team)) {
+            queue.forget_one();
+        }
+        Some(row)
+    }
+
+    /// Waiting requests whose deadline has passed.
+    pub(super) fn take_expired(&mut self, now: Millis) -> Vec<RequestKey> {
+        let mut expired = Vec::new();
+        while let Some(Reverse((deadline, key))) = self.deadlines.peek().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop();
+            let waiting = self.rows.get(key).is_some_and(|r| matches!(r.stage, Stage::Waiting));
+            if waiting && !expired.contains(&key) {
+                expired.push(key);
+            }
+        }
+        expired
+    }
+
+    /// Waiting work of a team in a pool.
+    pub(super) fn waiting(&self, pool: PoolId, team: TeamId) -> u32 {
+        self.queues.get(&(pool, team)).map_or(0, TeamQueue::len)
+    }
+
+    /// Waiting work of a team in all pools.
+    pub(super) fn waiting_of(&self, team: TeamId) -> u32 {
+        self.queues.iter().filter(|((_, t), _)| *t == team).map(|(_, queue)| queue.len()).sum()
+    }
+}
+
+impl Requests {
+    /// Key that belongs to no row now or later, for a request that is refused at once.
+    pub(super) fn next_key(&mut self) -> RequestKey {
+        let key = self.rows.insert(Request::placeholder());
+        self.rows.remove(key);
+        key
+    }
+}
+
+impl Request {
+    fn placeholder() -> Self {
+        Self {
+            pool: PoolId(0),
+            team: TeamId(0),
+            key: None,
+            class: Class::Normal,
+            idempotent: false,
+            deadline: Millis(0),
+            attempts: 0,
+            stage: Stage::Waiting,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/shares/mod.rs
@@ -0,0 +1,132 @@
+//! Table of what each team uses and is owed in each pool, over the fleet.
+
+use std::collections::BTreeMap;
+
+use super::Millis;
+use crate::ids::{MemberId, PoolId, TeamId};
+use crate::share::{Candidate, Demand, Usage, entitlement, part, quota};
+
+/// Running and waiting work of a team at one member.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Sum {
+    pub(super) running: u32,
+    pub(super) waiting: u32,
+}
+
+/// Use and entitlement of one team in one pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Row {
+    /// Own running work.
+    pub(super) running: u32,
+    /// Running work of the peers that were heard lately.
+    peers: u32,
+    /// Waiting work of all members.
+    waiting: u32,
+    owed_now: f64,
+    used: Usage,
+    owed: Usage,
+    /// Slots that this member may use while others wait; none if the pool is not full.
+    part: Option<u32>,
+}
+
+/// Shares of all teams.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    pub(super) rows: BTreeMap<(PoolId, TeamId), Row>,
+}
+
+/// Work of one team in one pool, by member.
+pub(super) struct TeamLoad {
+    pub(super) team: TeamId,
+    pub(super) share: u32,
+    pub(super) limit: u32,
+    pub(super) members: BTreeMap<MemberId, Sum>,
+}
+
+impl TeamLoad {
+    fn total(&self) -> Sum {
+        let add = |a: Sum, b: &Sum| Sum { running: a.running + b.running, waiting: a.waiting + b.waiting };
+        self.members.values().fold(Sum::default(), add)
+    }
+
+    fn demand(&self) -> Demand {
+        let total = self.total();
+        Demand { share: self.share, demand: total.running + total.waiting, limit: self.limit }
+    }
+}
+
+impl Shares {
+    pub(super) fn row(&mut self, pool: PoolId, team: TeamId) -> &mut Row {
+        self.rows.entry((pool, team)).or_default()
+    }
+
+    /// Accounts for the use since the last call and computes entitlements and this member's parts for one pool.
+    pub(super) fn update(
+        &mut self,
+        now: Millis,
+        me: MemberId,
+        pool: PoolId,
+        capacity: u32,
+        teams: &[TeamLoad],
+    ) {
+        let demands: Vec<Demand> = teams.iter().map(TeamLoad::demand).collect();
+        let owed = entitlement(capacity, &demands);
+        let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
+        let full = usable > u64::from(capacity);
+        for ((load, demand), owed_now) in teams.iter().zip(&demands).zip(owed) {
+            let total = load.total();
+            let row = self.row(pool, load.team);
+            row.used.advance(now.0, f64::from(total.running));
+            row.owed.advance(now.0, owed_now);
+            row.owed_now = owed_now;
+            row.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
+            row.waiting = total.waiting;
+            row.part = full.then(|| own_part(row, me, load, demand.usable()));
+        }
+    }
+
+    /// True if this member may start one more piece of work of the team without taking a slot that others are owed.
+    pub(super) fn allows(&self, pool: PoolId, team: TeamId) -> bool {
+        let row = self.rows.get(&(pool, team));
+        row.is_none_or(|row| row.part.is_none_or(|part| row.running < part))
+    }
+
+    /// Work of a team in a pool over the fleet.
+    pub(super) fn total(&self, pool: PoolId, team: TeamId) -> Sum {
+        let row = self.rows.get(&(pool, team));
+        row.map_or_else(Sum::default, |row| Sum { running: row.running + row.peers, waiting: row.waiting })
+    }
+
+    /// Running work of a team in all pools, over the fleet.
+    pub(super) fn running_of(&self, team: TeamId) -> u32 {
+        self.rows.iter().filter(|((_, t), _)| *t == team).map(|(_, row)| row.running + row.peers).sum()
+    }
+
+    /// Standing of a team in a pool, for the choice of the next team.
+    pub(super) fn candidate(&self, pool: PoolId, team: TeamId) -> Candidate {
+        self.rows.get(&(pool, team)).map_or_else(Candidate::default, Row::candidate)
+    }
+}
+
+impl Row {
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            owed_now: self.owed_now,
+            running: self.running + self.peers,
+            owed: self.owed.value(),
+            used: self.used.value(),
+        }
+    }
+
+    /// Decayed use, in slot-seconds.
+    pub(super) fn used(&self) -> f64 {
+        self.used.value()
+    }
+}
+
+fn own_part(row: &Row, me: MemberId, load: &TeamLoad, usable: u32) -> u32 {
+    let allowed = quota(&row.candidate(), usable);
+    let own: Vec<u32> = load.members.values().map(|sum| sum.running + sum.waiting).collect();
+    let index = load.members.keys().position(|id| *id == me);
+    index.map_or(0, |index| part(allowed, &own, index))
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/admission.rs
@@ -0,0 +1,136 @@
+//! Admission: key, pool, queue bound and deadline of incoming work.
+
+use super::super::command::{Command, NotRun, Refusal};
+use super::super::event::{Submission, TaskSubmission};
+use super::super::requests::{Request, Stage};
+use super::super::{Engine, Millis, RequestKey, Ticket};
+use crate::ids::{KeyId, PoolId, TeamId};
+use crate::policy::retry::Budget;
+use crate::record::{KeyHash, Record, TaskAccepted};
+
+/// Where admitted work belongs.
+struct Place {
+    pool: PoolId,
+    team: TeamId,
+    key: Option<KeyId>,
+}
+
+impl Engine {
+    pub(in crate::engine) fn admit_request(&mut self, now: Millis, submission: Submission) -> RequestKey {
+        self.counters.submitted += 1;
+        let admitted = self.admit(submission.key, &submission.pool);
+        let place = match admitted {
+            Ok(place) => place,
+            Err(reason) => return self.refuse_at_door(reason),
+        };
+        let deadline = now.plus(self.deadline_ms(&place, submission.deadline_ms));
+        let row = Request {
+            pool: place.pool,
+            team: place.team,
+            key: place.key,
+            class: submission.class,
+            idempotent: submission.idempotent,
+            deadline,
+            attempts: 0,
+            stage: Stage::Waiting,
+        };
+        self.budget(place.team).fund();
+        let key = self.requests.rows.insert(row);
+        self.requests.enqueue(key, false);
+        self.schedule(now, place.pool);
+        key
+    }
+
+    pub(in crate::engine) fn admit_task(
+        &mut self,
+        now: Millis,
+        work: TaskSubmission,
+    ) -> Result<Ticket, NotRun> {
+        self.counters.submitted += 1;
+        let place = self.admit(work.key, &work.pool).inspect_err(|reason| self.count_not_run(*reason))?;
+        if self.appends.down {
+            self.count_not_run(NotRun::PlatformUnavailable);
+            return Err(NotRun::PlatformUnavailable);
+        }
+        self.tasks += 1;
+        let team = self.fleet.teams[&place.team].name.clone();
+        let accepted = TaskAccepted {
+            number: self.tasks,
+            team,
+            pool: work.pool,
+            token: work.token,
+            idempotent: work.idempotent,
+            class: work.class,
+            payload: work.payload,
+        };
+        Ok(self.propose_for(now, Record::TaskAccepted(accepted)))
+    }
+
+    fn admit(&self, key: Option<KeyHash>, pool: &str) -> Result<Place, NotRun> {
+        if self.stopping {
+            return Err(NotRun::Stopping);
+        }
+        if self.member().is_none() {
+            return Err(NotRun::NotReady);
+        }
+        let pool = self
+            .fleet
+            .pool(pool)
+            .filter(|id| self.fleet.declaration.pools.contains_key(&self.fleet.pools[id].name));
+        let pool = pool.ok_or(NotRun::UnknownPool)?;
+        let place = match key {
+            Some(hash) => self.place_by_key(pool, hash)?,
+            None => self.place_open(pool)?,
+        };
+        let bound = self.fleet.default_for(place.pool, place.team, |d| d.queue_length.into(), "queue_length");
+        if u64::from(self.requests.waiting(place.pool, place.team)) >= bound {
+            return Err(NotRun::QueueFull);
+        }
+        Ok(place)
+    }
+
+    fn place_by_key(&self, pool: PoolId, hash: KeyHash) -> Result<Place, NotRun> {
+        let id = *self.fleet.hashes.get(&hash).ok_or(NotRun::KeyUnknown)?;
+        if self.is_withdrawn(id) {
+            return Err(NotRun::KeyWithdrawn);
+        }
+        Ok(Place { pool, team: self.fleet.keys[&id].team, key: Some(id) })
+    }
+
+    fn place_open(&self, pool: PoolId) -> Result<Place, NotRun> {
+        let team = self.fleet.pools[&pool].open.ok_or(NotRun::KeyMissing)?;
+        Ok(Place { pool, team, key: None })
+    }
+
+    /// True if the log or any peer says that the key was withdrawn.
+    pub(super) fn is_withdrawn(&self, id: KeyId) -> bool {
+        self.peers.withdrawn.contains(&id) || self.fleet.keys.get(&id).is_none_or(|key| key.withdrawn)
+    }
+
+    fn deadline_ms(&self, place: &Place, asked: Option<u64>) -> u64 {
+        let usual = self.fleet.default_for(place.pool, place.team, |d| d.deadline_ms, "deadline_ms");
+        let cap = self.fleet.default_for(place.pool, place.team, |d| d.deadline_cap_ms, "deadline_cap_ms");
+        asked.unwrap_or(usual).min(cap)
+    }
+
+    fn budget(&mut self, team: TeamId) -> &mut Budget {
+        let percent = self.options.retry_percent;
+        self.budgets.entry(team).or_insert_with(|| Budget::new(percent))
+    }
+
+    /// Takes one retry out of the team's budget; false if it is spent.
+    pub(super) fn take_retry(&mut self, team: TeamId) -> bool {
+        self.budget(team).take()
+    }
+
+    fn refuse_at_door(&mut self, reason: NotRun) -> RequestKey {
+        self.count_not_run(reason);
+        let request = self.requests.next_key();
+        self.emit(Command::Refuse { request, refusal: Refusal::NotRun(reason) });
+        request
+    }
+
+    pub(super) fn count_not_run(&mut self, reason: NotRun) {
+        *self.counters.not_run.entry(reason).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/gossip.rs
@@ -0,0 +1,68 @@
+//! Digests: what this member tells its peers, and what it learns from theirs.
+
+use super::super::command::Command;
+use super::super::event::Digest;
+use super::super::{Engine, Millis};
+use crate::fleet::{MemberState, ZoneState};
+use crate::ids::{KeyId, MemberId, TeamId, WorkerId, ZoneId};
+
+/// Withdrawn keys that are repeated to peers: the newest ones. Older withdrawals are in every replica.
+const WITHDRAWN_KEYS: usize = 64;
+
+impl Engine {
+    pub(in crate::engine) fn run_gossip(&mut self, now: Millis) {
+        let Some(me) = self.member() else {
+            return;
+        };
+        if now.since(self.last_gossip) < self.options.gossip_ms {
+            return;
+        }
+        self.last_gossip = now;
+        self.digests += 1;
+        let digest = self.make_digest(me);
+        self.emit(Command::Gossip(digest));
+    }
+
+    fn make_digest(&self, me: MemberId) -> Digest {
+        Digest {
+            member: me,
+            number: self.digests,
+            applied: self.fleet.applied,
+            loads: self.own_loads(),
+            wanted: self.wanted(me),
+            suspects: self.suspects(),
+            withdrawn: self.withdrawn(),
+            removed: self.removed(),
+        }
+    }
+
+    fn wanted(&self, me: MemberId) -> Vec<(TeamId, u32)> {
+        let lacking = self.fleet.teams.keys().map(|team| (*team, self.lacking(me, *team)));
+        lacking.filter(|(_, slots)| *slots > 0).collect()
+    }
+
+    fn suspects(&self) -> Vec<WorkerId> {
+        let suspect = self.upstreams.rows.iter().filter(|(_, row)| row.leaving || row.failures > 2);
+        let mut suspects: Vec<WorkerId> = suspect.map(|(id, _)| *id).chain(self.ejected()).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
+    }
+
+    fn withdrawn(&self) -> Vec<KeyId> {
+        let keys = self.fleet.keys.iter().rev().filter(|(_, key)| key.withdrawn).map(|(id, _)| *id);
+        keys.take(WITHDRAWN_KEYS).collect()
+    }
+
+    fn removed(&self) -> Vec<(ZoneId, u64)> {
+        let removed = self.fleet.zones.iter().filter(|(_, zone)| zone.state == ZoneState::Removed);
+        removed.map(|(id, zone)| (*id, zone.version)).collect()
+    }
+
+    pub(in crate::engine) fn learn_digest(&mut self, now: Millis, digest: Digest) {
+        let ended = self.fleet.members.get(&digest.member).is_some_and(|m| m.state != MemberState::Live);
+        if !ended {
+            self.peers.learn(now, digest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/holding.rs
@@ -0,0 +1,161 @@
+//! Holds: claims from the unheld rest, gives to members in need, releases of idle surplus, reclaims.
+//!
+//! Each member keeps a floor, so that a zone that is cut off can go on. A member in need claims the unheld rest, and
+//! members with spare slots give it half of them. Idle surplus above the floor is released after a while, so that
+//! floors fill again. Only records of the log move holds; in an outage everyone keeps what it holds.
+
+use super::super::{Engine, Millis};
+use super::duty::Duty;
+use crate::ids::{MemberId, TeamId};
+use crate::record::Record;
+
+/// Time without need after which a member releases its surplus, in milliseconds.
+const IDLE_MS: u64 = 5_000;
+/// Part of the limit that all floors together take: one half.
+const FLOOR_DIVISOR: u32 = 2;
+
+impl Engine {
+    pub(in crate::engine) fn run_holds(&mut self, now: Millis) {
+        let Some(me) = self.member() else {
+            return;
+        };
+        self.run_reclaims(now);
+        if self.stopping {
+            return;
+        }
+        let teams: Vec<TeamId> = self.fleet.teams.keys().copied().collect();
+        for team in teams {
+            self.balance(now, me, team);
+        }
+    }
+
+    fn balance(&mut self, now: Millis, me: MemberId, team: TeamId) {
+        let needed = self.lacking(me, team);
+        if needed > 0 {
+            self.needs.insert(team, now);
+        }
+        if self.has_pending(team) {
+            return;
+        }
+        if self.shrink(now, me, team) || needed > 0 && self.claim(now, team, needed) {
+            return;
+        }
+        if needed == 0 && !self.give(now, me, team) {
+            self.adjust_floor(now, me, team);
+        }
+    }
+
+    /// Slots that waiting work of the team lacks at this member.
+    pub(super) fn lacking(&self, me: MemberId, team: TeamId) -> u32 {
+        let waiting = self.requests.waiting_of(team);
+        waiting.saturating_sub(self.uses.spare(team, self.fleet.hold(team, me)))
+    }
+
+    fn has_pending(&self, team: TeamId) -> bool {
+        let name = &self.fleet.teams[&team].name;
+        let about = |record: &Record| match record {
+            Record::HoldClaim { team, .. }
+            | Record::HoldGive { team, .. }
+            | Record::HoldRelease { team, .. } => team == name,
+            _ => false,
+        };
+        self.appends.contains(about)
+    }
+
+    /// Releases this member's part of what is held above a lowered limit.
+    fn shrink(&mut self, now: Millis, me: MemberId, team: TeamId) -> bool {
+        let held = self.fleet.held(team);
+        let excess = held.saturating_sub(self.fleet.teams[&team].limit);
+        if excess == 0 {
+            return false;
+        }
+        let own = self.fleet.hold(team, me);
+        let part = (u64::from(excess) * u64::from(own)).div_ceil(u64::from(held.max(1)));
+        let part = u32::try_from(part).unwrap_or(u32::MAX).min(self.uses.spare(team, own));
+        self.release(now, team, part);
+        true
+    }
+
+    fn claim(&mut self, now: Millis, team: TeamId, slots: u32) -> bool {
+        let slots = slots.min(self.fleet.unheld(team));
+        if slots > 0 {
+            let team = self.fleet.teams[&team].name.clone();
+            self.note(now, Record::HoldClaim { team, slots });
+        }
+        slots > 0
+    }
+
+    /// Gives half of the spare slots to the member that lacks most.
+    fn give(&mut self, now: Millis, me: MemberId, team: TeamId) -> bool {
+        let spare = self.uses.spare(team, self.fleet.hold(team, me));
+        let live: Vec<MemberId> = self.fleet.live_members().collect();
+        let wants = self.peers.wanted(team).filter(|(id, _)| *id != me && live.contains(id));
+        let Some((to, wanted)) = wants.max_by_key(|(id, wanted)| (*wanted, *id)) else {
+            return false;
+        };
+        let slots = spare.div_ceil(2).min(wanted);
+        if slots == 0 {
+            return false;
+        }
+        self.uses.promise(team, slots);
+        let team = self.fleet.teams[&team].name.clone();
+        self.note(now, Record::HoldGive { team, to, slots });
+        true
+    }
+
+    /// Releases idle surplus above the floor, or claims up to the floor.
+    fn adjust_floor(&mut self, now: Millis, me: MemberId, team: TeamId) {
+        let own = self.fleet.hold(team, me);
+        let floor = self.floor(team);
+        let idle = self.needs.get(&team).is_none_or(|need| now.since(*need) >= IDLE_MS);
+        let surplus = own.saturating_sub(floor.max(self.uses.running(team)));
+        let short = self.fleet.live_members().any(|id| self.fleet.hold(team, id) < floor);
+        let wanted = self.peers.wanted(team).next().is_some();
+        if own < floor && !wanted {
+            self.claim(now, team, floor - own);
+        } else if idle && short && self.fleet.unheld(team) == 0 {
+            self.release(now, team, surplus.min(self.uses.spare(team, own)).div_ceil(2));
+        }
+    }
+
+    /// Part of the limit that each member keeps, in slots.
+    fn floor(&self, team: TeamId) -> u32 {
+        let members = u32::try_from(self.fleet.live_members().count()).unwrap_or(u32::MAX).max(1);
+        let limit = self.fleet.teams[&team].limit;
+        let floor = limit / members / FLOOR_DIVISOR;
+        if floor == 0 && limit >= members { 1 } else { floor }
+    }
+
+    fn release(&mut self, now: Millis, team: TeamId, slots: u32) {
+        if slots == 0 {
+            return;
+        }
+        self.uses.promise(team, slots);
+        let team = self.fleet.teams[&team].name.clone();
+        self.note(now, Record::HoldRelease { team, slots });
+    }
+
+    /// Frees the holds of gone members whose work can no longer run.
+    fn run_reclaims(&mut self, now: Millis) {
+        let wait = self.with_drift(self.options.lease_cap_ms + self.fleet.deadline_cap_ms);
+        let due = self.gone.iter().filter(|(_, seen)| now.since(**seen) >= wait);
+        for member in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let holds = self.fleet.holds.keys().any(|(_, holder)| *holder == member);
+            if !holds {
+                self.gone.remove(&member);
+                self.clear_duty(Duty::Reclaim(member));
+            } else if self.is_turn(now, Duty::Reclaim(member)) {
+                self.note_once(now, Record::HoldReclaim { member });
+            }
+        }
+    }
+
+    /// Ends the promise of a give or release record that was applied or is void.
+    pub(super) fn settle(&mut self, record: &Record) {
+        if let Record::HoldGive { team, slots, .. } | Record::HoldRelease { team, slots } = record
+            && let Some(team) = self.fleet.team(team)
+        {
+            self.uses.settle(team, *slots);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/judging.rs
@@ -0,0 +1,43 @@
+//! Judgement of workers by their outcomes: ejection, probes, readmission.
+
+use super::super::{Engine, Millis};
+use crate::ids::{PoolId, WorkerId};
+use crate::policy::judgement::{Admission, Judgement, Outcome};
+
+impl Engine {
+    pub(super) fn judge(&mut self, now: Millis, pool: PoolId, worker: WorkerId, outcome: Outcome) {
+        let percent = self.options.eject_percent;
+        let judgement = self.judgements.entry(pool).or_insert_with(|| Judgement::new(percent));
+        judgement.record(now, worker, outcome);
+    }
+
+    /// Ejects workers that fail much more than their peers.
+    pub(in crate::engine) fn run_judgements(&mut self, now: Millis) {
+        for (pool, judgement) in &mut self.judgements {
+            let workers = self.upstreams.of_pool(*pool).iter().copied();
+            let serving: Vec<WorkerId> =
+                workers.filter(|id| self.fleet.takes_work(&self.fleet.workers[id])).collect();
+            let ejected = judgement.assess(now, &serving);
+            self.counters.ejections += ejected.len() as u64;
+        }
+    }
+
+    /// Whether a worker may be given work, by its outcomes.
+    pub(super) fn admission(&self, now: Millis, pool: PoolId, worker: WorkerId) -> Admission {
+        self.judgements.get(&pool).map_or(Admission::Open, |judgement| judgement.admission(now, worker))
+    }
+
+    /// Notes that work was sent to an ejected worker.
+    pub(super) fn note_probe(&mut self, now: Millis, pool: PoolId, worker: WorkerId) {
+        if self.admission(now, pool, worker) != Admission::Open
+            && let Some(judgement) = self.judgements.get_mut(&pool)
+        {
+            judgement.probe(now, worker);
+        }
+    }
+
+    /// Workers that this member has ejected.
+    pub(super) fn ejected(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        self.judgements.values().flat_map(Judgement::ejected)
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/log.rs
@@ -0,0 +1,181 @@
+//! The log: applying batches, proposals on their way into it, and restored states.
+
+use super::super::command::{Command, ProposalError};
+use super::super::{Engine, Millis, Phase, Ticket};
+use crate::fleet::{Applied, Effect, Fleet, MemberState, VoidReason};
+use crate::ids::{MemberId, Offset};
+use crate::record::{Batch, Origin, Record};
+
+type RecordResult = Result<Effect, VoidReason>;
+
+impl Engine {
+    pub(in crate::engine) fn apply_batch(&mut self, now: Millis, offset: Offset, batch: &Batch) {
+        if self.fleet.applied.is_some_and(|last| offset <= last) {
+            return;
+        }
+        let applied = self.fleet.apply(offset, batch);
+        self.upstreams.index(&self.fleet);
+        if applied.duplicate {
+            self.counters.duplicate_batches += 1;
+        }
+        self.collect_snapshots(batch);
+        self.notice_members(now);
+        match batch.origin {
+            Origin::Joining(nonce) if nonce == self.options.nonce => self.end_join(&applied),
+            Origin::Member(id) if self.phase == Phase::Member(id) => {
+                self.end_own_batch(now, offset, batch, applied)
+            }
+            _ => {}
+        }
+        self.notice_end();
+        self.adopt_touched(now, batch);
+    }
+
+    /// Passes over an entry that does not decode. All replicas see the same bytes, so all pass over it.
+    pub(in crate::engine) fn pass_corrupt(&mut self, offset: Offset) {
+        self.counters.corrupt_entries += 1;
+        self.fleet.pass(offset);
+    }
+
+    /// Takes a state with a higher offset in place of the own one.
+    pub(in crate::engine) fn restore(&mut self, now: Millis, fleet: Fleet) {
+        if fleet.applied <= self.fleet.applied {
+            return;
+        }
+        self.fleet = fleet;
+        self.upstreams.index(&self.fleet);
+        self.notice_members(now);
+        if let Phase::Member(id) = self.phase {
+            let sequence = self.fleet.members.get(&id).map_or(0, |m| m.sequence);
+            for (record, ticket) in self.appends.end_batch(sequence) {
+                self.settle(&record);
+                self.resolve(ticket, Err(ProposalError::Unknown));
+            }
+        }
+        self.notice_end();
+        self.adopt_all(now);
+    }
+
+    fn end_own_batch(&mut self, now: Millis, offset: Offset, batch: &Batch, applied: Applied) {
+        if applied.duplicate {
+            return;
+        }
+        let records = self.appends.end_batch(batch.sequence);
+        for ((record, ticket), result) in records.into_iter().zip(applied.results) {
+            self.settle(&record);
+            if result.is_err() {
+                self.counters.void_records += 1;
+            }
+            self.end_record(now, &record, &result);
+            self.resolve(ticket, result.map(|effect| (offset, effect)).map_err(ProposalError::Void));
+        }
+    }
+
+    fn end_record(&mut self, now: Millis, record: &Record, result: &RecordResult) {
+        match record {
+            Record::TaskStarted { task, attempt, .. } => {
+                self.end_start_record(now, *task, *attempt, result.is_ok())
+            }
+            Record::TaskEnded { task, .. } | Record::TaskRequeued { task, .. } => {
+                self.end_final_record(now, *task)
+            }
+            _ => {}
+        }
+    }
+
+    fn resolve(&mut self, ticket: Option<Ticket>, result: Result<(Offset, Effect), ProposalError>) {
+        if let Some(ticket) = ticket {
+            self.emit(Command::Resolve { ticket, result });
+        }
+    }
+
+    /// Queues a record for the next batch, on behalf of a caller or an operator.
+    pub(in crate::engine) fn propose_for(&mut self, now: Millis, record: Record) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let possible = self.member().is_some() && !self.appends.down;
+        if !possible || !self.appends.push(now, record, Some(ticket)) {
+            self.resolve(Some(ticket), Err(ProposalError::Unavailable));
+        }
+        ticket
+    }
+
+    /// Queues a record of this member's own.
+    pub(super) fn note(&mut self, now: Millis, record: Record) {
+        if !self.appends.push(now, record.clone(), None) {
+            self.settle(&record);
+        }
+    }
+
+    /// Queues a record unless the same one is on its way.
+    pub(super) fn note_once(&mut self, now: Millis, record: Record) {
+        if !self.appends.contains(|other| *other == record) {
+            self.note(now, record);
+        }
+    }
+
+    pub(in crate::engine) fn run_appends(&mut self, now: Millis) {
+        for ticket in self.appends.take_unsent(now) {
+            self.resolve(Some(ticket), Err(ProposalError::Unavailable));
+        }
+        for ticket in self.appends.take_undecided(now) {
+            self.resolve(Some(ticket), Err(ProposalError::Unknown));
+        }
+        let Some(me) = self.member() else {
+            return;
+        };
+        if let Some(batch) = self.appends.next_batch(now, me, self.options.commit_ms) {
+            self.counters.appends += 1;
+            self.emit(Command::Append(batch));
+        }
+    }
+
+    /// Notes when each member was first seen and when it was first seen to be gone.
+    fn notice_members(&mut self, now: Millis) {
+        for (id, member) in &self.fleet.members {
+            self.seen.entry(*id).or_insert(now);
+            if matches!(member.state, MemberState::Gone(_)) && self.fleet.holds.keys().any(|(_, h)| h == id) {
+                self.gone.entry(*id).or_insert(now);
+            }
+        }
+    }
+
+    /// Stops acting once the log says that this incarnation has ended.
+    fn notice_end(&mut self) {
+        let Phase::Member(id) = self.phase else {
+            return;
+        };
+        match self.fleet.members.get(&id).map(|m| m.state) {
+            Some(MemberState::Live) | None => {}
+            Some(MemberState::Left) => self.end_phase(Command::Exit),
+            Some(MemberState::Gone(_)) => self.end_phase(Command::Rejoin),
+        }
+    }
+
+    fn end_phase(&mut self, command: Command) {
+        self.phase = Phase::Ended;
+        self.emit(command);
+    }
+
+    fn end_join(&mut self, applied: &Applied) {
+        if !matches!(self.phase, Phase::Starting | Phase::Joining(_)) {
+            return;
+        }
+        match applied.results.first() {
+            Some(Ok(Effect::Joined(id))) => self.phase = Phase::Member(*id),
+            Some(Err(_)) => self.end_phase(Command::Rejoin),
+            _ => {}
+        }
+    }
+
+    /// True once the state covers the log up to the end seen last.
+    pub(super) fn has_state(&self) -> bool {
+        self.log_end.is_some()
+    }
+
+    /// Id of the member that this process became in a state that it restored.
+    pub(super) fn find_self(&self) -> Option<MemberId> {
+        let own = self.fleet.members.iter().find(|(_, m)| m.nonce == self.options.nonce);
+        own.map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/moving.rs
@@ -0,0 +1,91 @@
+//! Moves between pools when demand shifts for longer than a surge.
+//!
+//! Every member learns the loads. Only the best-ranked member that is heard proposes moves; in a partition each side
+//! may propose, and a record that would break a budget is void.
+
+use super::super::{Engine, Millis};
+use super::duty::Duty;
+use crate::fleet::WorkerState;
+use crate::ids::{MemberId, PoolId, WorkerId};
+use crate::policy::surge::{Move, PoolLoad, WorkerLoad, choose};
+use crate::record::Record;
+
+impl Engine {
+    pub(in crate::engine) fn run_moves(&mut self, now: Millis) {
+        let Some(me) = self.member() else {
+            return;
+        };
+        let loads: Vec<PoolLoad> = self.fleet.pools.keys().map(|pool| self.pool_load(*pool)).collect();
+        let planned = self.planner.plan(now, &loads);
+        let (true, Some(planned)) = (self.leads_moves(me), planned) else {
+            return;
+        };
+        if self.appends.contains(|r| matches!(r, Record::MoveLeft { .. })) {
+            return;
+        }
+        if let Some(worker) = self.choose_moved(&planned) {
+            self.counters.moves += 1;
+            let to = self.fleet.pools[&planned.to].name.clone();
+            self.note(now, Record::MoveLeft { worker, to });
+        }
+    }
+
+    fn leads_moves(&self, me: MemberId) -> bool {
+        let own = self.rank(me, Duty::Moves);
+        let live = |id: &MemberId| self.fleet.live_members().any(|other| other == *id);
+        !self.peers.heard().filter(live).any(|id| self.rank(id, Duty::Moves) < own)
+    }
+
+    fn pool_load(&self, pool: PoolId) -> PoolLoad {
+        let row = &self.fleet.pools[&pool];
+        let workers = self.fleet.workers.values();
+        let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
+        let serving = self.fleet.serving(pool);
+        let capacity = self.capacity(pool);
+        let (running, waiting) = self.pool_work(pool);
+        PoolLoad {
+            pool,
+            spare: row.spare,
+            serving,
+            arriving: u32::try_from(arriving.count()).unwrap_or(u32::MAX),
+            min_serving: row.min_serving,
+            slots: capacity.checked_div(serving).unwrap_or(0),
+            running,
+            waiting,
+            run_ms: self.upstreams.run_time(pool),
+        }
+    }
+
+    /// Running work of a pool over the fleet, and the waiting work that no upper limit holds back.
+    fn pool_work(&self, pool: PoolId) -> (u32, u32) {
+        let mut running = 0;
+        let mut waiting = 0;
+        for (id, team) in &self.fleet.teams {
+            let sum = self.shares.total(pool, *id);
+            running += sum.running;
+            waiting += sum.waiting.min(team.limit.saturating_sub(self.shares.running_of(*id)));
+        }
+        (running, waiting)
+    }
+
+    fn choose_moved(&self, planned: &Move) -> Option<WorkerId> {
+        let workers = self.upstreams.of_pool(planned.from).iter().copied();
+        let serving: Vec<WorkerId> =
+            workers.filter(|id| self.fleet.takes_work(&self.fleet.workers[id])).collect();
+        let loads: Vec<WorkerLoad> = serving.iter().map(|id| self.worker_load(*id, planned)).collect();
+        choose(&loads).map(|index| serving[index])
+    }
+
+    fn worker_load(&self, id: WorkerId, planned: &Move) -> WorkerLoad {
+        let zone = self.fleet.workers[&id].zone;
+        let in_zone = |pool: PoolId| {
+            let same = self.fleet.workers.values().filter(|w| w.pool == pool && w.zone == zone);
+            u32::try_from(same.filter(|w| w.state == WorkerState::Serving).count()).unwrap_or(u32::MAX)
+        };
+        WorkerLoad {
+            running: self.upstreams.flying(id),
+            giver_in_zone: in_zone(planned.from),
+            receiver_in_zone: in_zone(planned.to),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/stopping.rs
@@ -0,0 +1,24 @@
+//! Graceful stop: finishes what runs, then leaves.
+//!
+//! Started tasks go on at their workers; the members that take them over renew their leases.
+
+use super::super::command::Command;
+use super::super::{Engine, Millis, Phase};
+use crate::record::Record;
+
+impl Engine {
+    pub(in crate::engine) fn run_stop(&mut self, now: Millis) {
+        if !self.stopping {
+            return;
+        }
+        if matches!(self.phase, Phase::Starting | Phase::Joining(_)) {
+            self.phase = Phase::Ended;
+            self.emit(Command::Exit);
+            return;
+        }
+        let finished = self.requests.rows.is_empty() && !self.uses.lingers();
+        if self.member().is_some() && finished && self.appends.is_empty() {
+            self.note(now, Record::Leave);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/task_reports.rs
@@ -0,0 +1,189 @@
+//! Answers of workers about task attempts.
+
+use super::super::event::{TaskAnswer, TaskReport, WorkerRefusal};
+use super::super::runs::RunStage;
+use super::super::view::RetryReason;
+use super::super::{Engine, Millis};
+use crate::ids::TaskId;
+use crate::policy::judgement::Outcome;
+use crate::record::{Record, StopProof, TaskOutcome};
+
+impl Engine {
+    pub(in crate::engine) fn handle_report(&mut self, now: Millis, report: TaskReport) {
+        let Some(run) = self.runs.rows.get(&report.task) else {
+            return;
+        };
+        if run.attempt != report.attempt || run.worker != report.worker || run.stage == RunStage::Ended {
+            return;
+        }
+        if run.stage == RunStage::Leasing {
+            self.end_leasing(now, report);
+        } else {
+            self.handle_answer(now, report);
+        }
+    }
+
+    fn end_leasing(&mut self, now: Millis, report: TaskReport) {
+        let id = report.task;
+        match report.answer {
+            TaskAnswer::Leased { lease, ttl_ms, asked } => {
+                self.set_lease(id, lease, ttl_ms, asked, report.nonce);
+                self.note_start(now, id);
+            }
+            TaskAnswer::Refused(refusal) => {
+                self.pause_worker(now, report.worker, refusal);
+                self.drop_run(now, id);
+            }
+            _ => {
+                self.upstreams.row(report.worker).fail(now);
+                self.probe(report.worker);
+                self.drop_run(now, id);
+            }
+        }
+    }
+
+    fn pause_worker(&mut self, now: Millis, worker: crate::ids::WorkerId, refusal: WorkerRefusal) {
+        *self.counters.retries.entry(RetryReason::from(refusal)).or_default() += 1;
+        let upstream = self.upstreams.row(worker);
+        if refusal == WorkerRefusal::Full {
+            upstream.pause_full(now);
+        } else {
+            upstream.pause_refused(now);
+        }
+    }
+
+    fn set_lease(&mut self, id: TaskId, lease: u64, ttl_ms: u64, asked: Millis, nonce: u64) {
+        // The drift is taken off: the worker's clock may run faster.
+        let ttl = ttl_ms.saturating_sub(ttl_ms * self.options.drift_ppm / 1_000_000);
+        if let Some(run) = self.runs.rows.get_mut(&id) {
+            run.lease = lease;
+            run.lapses = asked.plus(ttl);
+            run.renew = asked.plus(ttl / 3);
+            if run.nonce == 0 {
+                run.nonce = nonce;
+            }
+        }
+    }
+
+    /// Notes the start. An idempotent task starts at once, so that it can start while the log is down.
+    fn note_start(&mut self, now: Millis, task: TaskId) {
+        let idempotent = self.fleet.tasks.get(&task).is_some_and(|t| t.idempotent);
+        let Some(run) = self.runs.rows.get_mut(&task) else {
+            return;
+        };
+        let (attempt, worker, nonce) = (run.attempt, run.worker, run.nonce);
+        run.stage = RunStage::Recording;
+        let startable = run.lapses > now && self.fleet.workers.get(&worker).is_some_and(|w| self.may_use(w));
+        if !startable {
+            self.drop_run(now, task);
+            return;
+        }
+        self.note(now, Record::TaskStarted { task, attempt, worker, nonce });
+        if idempotent {
+            self.send_start(now, task);
+        }
+    }
+
+    fn handle_answer(&mut self, now: Millis, report: TaskReport) {
+        let id = report.task;
+        match report.answer {
+            TaskAnswer::Leased { lease, ttl_ms, asked } => {
+                self.set_lease(id, lease, ttl_ms, asked, report.nonce)
+            }
+            TaskAnswer::Refused(_) | TaskAnswer::Unsent => self.handle_refused(now, id),
+            TaskAnswer::Never => self.handle_never(now, id, report.nonce),
+            TaskAnswer::Running => self.handle_running(id),
+            TaskAnswer::Done(result) => self.handle_done(now, id, result),
+            TaskAnswer::Failed(reason) => self.handle_failed(now, id, reason),
+            TaskAnswer::Stopped { checkpoint } => self.handle_stopped(now, id, checkpoint),
+            TaskAnswer::NoAnswer => self.probe(report.worker),
+        }
+    }
+
+    /// A refused start did not run if it is the only one that was sent; otherwise the worker is asked.
+    fn handle_refused(&mut self, now: Millis, id: TaskId) {
+        let Some(run) = self.runs.rows.get(&id) else {
+            return;
+        };
+        if run.stage == RunStage::Unsure && run.starts == 1 && !run.adopted() {
+            self.requeue(now, id, StopProof::Refused);
+        }
+    }
+
+    /// A worker that never ran the attempt proves it only if it has not restarted since, and only once no start under
+    /// a lease can reach it any more.
+    fn handle_never(&mut self, now: Millis, id: TaskId, nonce: u64) {
+        let Some(run) = self.runs.rows.get(&id) else {
+            return;
+        };
+        let unsure = matches!(run.stage, RunStage::Unsure | RunStage::Running);
+        if unsure && nonce != run.nonce {
+            self.end_lost(now, id);
+        } else if run.stage == RunStage::Unsure && run.lapses <= now {
+            self.requeue(now, id, StopProof::NeverStarted);
+        } else if run.stage == RunStage::Unsure && !run.adopted() {
+            self.send_start(now, id);
+        }
+    }
+
+    /// An attempt that an earlier owner started runs; its lease is taken over.
+    fn handle_running(&mut self, id: TaskId) {
+        let Some(run) = self.runs.rows.get_mut(&id) else {
+            return;
+        };
+        run.stage = RunStage::Running;
+        if run.adopted() {
+            self.order(id, super::super::command::TaskVerb::Renew { lease: 0 });
+        }
+    }
+
+    fn judge_run(&mut self, now: Millis, id: TaskId, failed: bool) {
+        let (Some(run), Some(task)) = (self.runs.rows.get(&id), self.fleet.tasks.get(&id)) else {
+            return;
+        };
+        let job = id.member.0 << 32 | u64::from(id.number);
+        self.judge(now, task.pool, run.worker, Outcome { team: task.team, job, failed });
+    }
+
+    fn handle_done(&mut self, now: Millis, id: TaskId, result: Vec<u8>) {
+        self.judge_run(now, id, false);
+        if let (Some(run), Some(task)) = (self.runs.rows.get(&id), self.fleet.tasks.get(&id)) {
+            let (pool, worker) = (task.pool, run.worker);
+            self.upstreams.learn_run_time(pool, worker, now.since(run.began));
+        }
+        self.end_task(now, id, TaskOutcome::Done(result));
+    }
+
+    /// A failed attempt of an idempotent task is tried on other workers, up to the declared count.
+    fn handle_failed(&mut self, now: Millis, id: TaskId, reason: String) {
+        self.judge_run(now, id, true);
+        let Some(task) = self.fleet.tasks.get(&id) else {
+            return;
+        };
+        let allowed =
+            self.fleet.default_for(task.pool, task.team, |d| d.task_attempts.into(), "task_attempts");
+        let failed = task.failed.len() as u64 + 1;
+        if task.idempotent && failed < allowed {
+            self.requeue(now, id, StopProof::Failed);
+        } else {
+            self.end_task(now, id, TaskOutcome::Failed(reason));
+        }
+    }
+
+    /// A stopped attempt goes on from its checkpoint. Without one, only an idempotent task may start again.
+    fn handle_stopped(&mut self, now: Millis, id: TaskId, checkpoint: Option<Vec<u8>>) {
+        let Some(task) = self.fleet.tasks.get(&id) else {
+            return;
+        };
+        let resumable = task.idempotent || task.cancelled || checkpoint.is_some();
+        if !resumable {
+            let reason = "the task was stopped without a checkpoint and may not run twice";
+            self.end_task(now, id, TaskOutcome::Failed(reason.into()));
+            return;
+        }
+        if let Some(checkpoint) = checkpoint {
+            self.runs.checkpoints.insert(id, checkpoint);
+        }
+        self.requeue(now, id, StopProof::Stopped);
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/task_runs.rs
@@ -0,0 +1,320 @@
+//! Task attempts: starting, adopting, watching and ending them.
+//!
+//! An attempt takes a lease from the worker first and starts under it, so a start that was held up by a freeze is
+//! refused by the worker's clock. The start record of a non-idempotent task is in the log before the start is sent.
+
+use super::super::command::{Command, TaskOrder, TaskVerb};
+use super::super::holds::Permit;
+use super::super::runs::{Run, RunStage};
+use super::super::{Engine, Millis};
+use crate::fleet::{Task, TaskState, WorkerState};
+use crate::ids::{TaskId, WorkerId};
+use crate::record::{Batch, Origin, Record, StopProof, TaskOutcome};
+
+/// Shortest time between two questions about an attempt, in milliseconds.
+const ASK_MS: u64 = 100;
+/// Longest time between two questions about an attempt, in milliseconds.
+pub(super) const ASK_CAP_MS: u64 = 1_000;
+/// Time that an idempotent task may go on on a worker that is to be maintained, in milliseconds.
+const PATIENCE_MS: u64 = 10_000;
+
+impl Engine {
+    /// Looks at the tasks that a batch touched; at all tasks if members changed, because owners change with them.
+    pub(super) fn adopt_touched(&mut self, now: Millis, batch: &Batch) {
+        let members = |r: &Record| matches!(r, Record::Join(_) | Record::Leave | Record::Gone { .. });
+        if batch.records.iter().any(members) {
+            return self.adopt_all(now);
+        }
+        for record in &batch.records {
+            if let Some(task) = touched_task(batch.origin, record) {
+                self.adopt(now, task);
+            }
+        }
+    }
+
+    pub(super) fn adopt_all(&mut self, now: Millis) {
+        let Some(me) = self.member() else {
+            return;
+        };
+        let open = |task: &Task| task.owner == me && !matches!(task.state, TaskState::Ended { .. });
+        let own: Vec<TaskId> = self.fleet.tasks.iter().filter(|(_, t)| open(t)).map(|(id, _)| *id).collect();
+        for id in own {
+            self.adopt(now, id);
+        }
+    }
+
+    /// Queues an own waiting task, or watches an own started one.
+    fn adopt(&mut self, now: Millis, id: TaskId) {
+        let Some(task) = self.fleet.tasks.get(&id).filter(|task| Some(task.owner) == self.member()) else {
+            return;
+        };
+        let known = self.runs.rows.contains_key(&id);
+        match task.state {
+            TaskState::Waiting if !known && self.runs.queued.insert(id) => {
+                self.requests.enqueue_task(task.pool, task.team, task.class, id);
+            }
+            TaskState::Started { attempt, worker, nonce } if !known => {
+                self.watch(now, id, attempt, worker, nonce)
+            }
+            TaskState::Ended { .. } => self.forget_queued(id),
+            _ => {}
+        }
+    }
+
+    fn forget_queued(&mut self, id: TaskId) {
+        let Some(task) = self.fleet.tasks.get(&id) else {
+            return;
+        };
+        if self.runs.queued.remove(&id)
+            && let Some(queue) = self.requests.queues.get_mut(&(task.pool, task.team))
+        {
+            queue.forget_one();
+        }
+        self.runs.checkpoints.remove(&id);
+    }
+
+    /// Takes over an attempt that an earlier owner may have started. Its slot of the limit came with it.
+    fn watch(&mut self, now: Millis, id: TaskId, attempt: u32, worker: WorkerId, nonce: u64) {
+        let task = &self.fleet.tasks[&id];
+        let (pool, team) = (task.pool, task.team);
+        let permit = self.uses.adopt(team);
+        self.shares.row(pool, team).running += 1;
+        self.upstreams.start(worker, team, true);
+        let lapses = now.plus(self.with_drift(self.options.lease_cap_ms));
+        let mut run = new_run(now, attempt, worker, permit);
+        run.stage = RunStage::Unsure;
+        run.recorded = true;
+        run.nonce = nonce;
+        run.lapses = lapses;
+        self.runs.rows.insert(id, run);
+    }
+
+    pub(super) fn start_task(&mut self, now: Millis, id: TaskId, worker: WorkerId, permit: Permit) {
+        self.runs.queued.remove(&id);
+        let Some(task) = self.fleet.tasks.get(&id) else {
+            permit.close(&mut self.uses);
+            return;
+        };
+        let attempt = task.attempts + 1;
+        let pool = self.fleet.pools[&task.pool].name.clone();
+        let mut run = new_run(now, attempt, worker, permit);
+        run.ask = now.plus(ASK_CAP_MS);
+        self.runs.rows.insert(id, run);
+        self.order(id, TaskVerb::Lease { pool });
+    }
+
+    /// Sends an order about the current attempt of a task.
+    pub(super) fn order(&mut self, task: TaskId, verb: TaskVerb) {
+        let Some(run) = self.runs.rows.get(&task) else {
+            return;
+        };
+        let (attempt, worker) = (run.attempt, run.worker);
+        let address = self.fleet.workers.get(&worker).map(|w| w.address.clone()).unwrap_or_default();
+        self.emit(Command::Task(TaskOrder { task, attempt, worker, address, verb }));
+    }
+
+    pub(super) fn send_start(&mut self, now: Millis, id: TaskId) {
+        let checkpoint = self.runs.checkpoints.get(&id).cloned();
+        let payload = self.fleet.tasks.get(&id).map(|task| task.payload.clone()).unwrap_or_default();
+        let Some(run) = self.runs.rows.get_mut(&id) else {
+            return;
+        };
+        run.stage = RunStage::Unsure;
+        run.starts += 1;
+        run.ask = now.plus(ASK_CAP_MS);
+        let lease = run.lease;
+        self.order(id, TaskVerb::Start { lease, payload, checkpoint });
+    }
+
+    /// Goes on after the start record was applied or found void.
+    pub(super) fn end_start_record(&mut self, now: Millis, id: TaskId, attempt: u32, applied: bool) {
+        let Some(run) = self.runs.rows.get_mut(&id).filter(|run| run.attempt == attempt) else {
+            return;
+        };
+        run.recorded = applied;
+        if run.stage != RunStage::Recording {
+            return;
+        }
+        let (worker, valid) = (run.worker, run.lapses > now);
+        if !applied {
+            self.drop_run(now, id);
+        } else if valid && self.fleet.workers.get(&worker).is_some_and(|w| self.may_use(w)) {
+            self.send_start(now, id);
+        } else {
+            self.requeue(now, id, StopProof::NeverStarted);
+        }
+    }
+
+    /// Ends the watch of an attempt whose final record was applied or found void.
+    pub(super) fn end_final_record(&mut self, now: Millis, id: TaskId) {
+        let ended = self.runs.rows.get(&id).is_some_and(|run| run.stage == RunStage::Ended);
+        if ended {
+            self.drop_run(now, id);
+        }
+    }
+
+    pub(in crate::engine) fn run_tasks(&mut self, now: Millis) {
+        if self.member().is_none() {
+            return;
+        }
+        for id in self.runs.rows.keys().copied().collect::<Vec<_>>() {
+            self.watch_run(now, id);
+        }
+    }
+
+    fn watch_run(&mut self, now: Millis, id: TaskId) {
+        if self.end_if_lost(now, id) {
+            return;
+        }
+        let stop = self.wants_stop(now, id);
+        let Some(run) = self.runs.rows.get_mut(&id) else {
+            return;
+        };
+        let watched = matches!(run.stage, RunStage::Unsure | RunStage::Running);
+        let renew = run.renew <= now && run.lease != 0 && run.stage != RunStage::Ended;
+        let ask = watched && run.ask <= now;
+        let lease = run.lease;
+        if renew {
+            run.renew = now.plus(ASK_CAP_MS);
+        }
+        if ask {
+            run.ask = now.plus(ask_interval(now.since(run.began)));
+        }
+        if renew {
+            self.order(id, TaskVerb::Renew { lease });
+        }
+        if ask {
+            self.order(id, if stop { TaskVerb::Stop } else { TaskVerb::Query });
+        }
+    }
+
+    /// True if the attempt should end: it was cancelled, or its worker is to be maintained and patience is over.
+    fn wants_stop(&mut self, now: Millis, id: TaskId) -> bool {
+        let (Some(run), Some(task)) = (self.runs.rows.get_mut(&id), self.fleet.tasks.get(&id)) else {
+            return false;
+        };
+        let state = self.fleet.workers.get(&run.worker).map(|w| w.state);
+        let stopping = matches!(
+            state,
+            Some(WorkerState::Draining(_) | WorkerState::Moving { .. } | WorkerState::Leaving)
+        );
+        run.stop = if stopping { run.stop.or(Some(now.plus(PATIENCE_MS))) } else { None };
+        task.cancelled || (task.idempotent && run.stop.is_some_and(|stop| stop <= now))
+    }
+
+    /// Ends an attempt whose worker is written off in the log.
+    fn end_if_lost(&mut self, now: Millis, id: TaskId) -> bool {
+        let Some(run) = self.runs.rows.get(&id).filter(|run| run.stage != RunStage::Ended) else {
+            return false;
+        };
+        let lost = self.fleet.workers.get(&run.worker).is_none_or(|w| w.state == WorkerState::Lost);
+        if lost {
+            self.end_lost(now, id);
+        }
+        lost
+    }
+
+    /// Ends an attempt whose worker has ended or restarted, so that nobody can say how far it came.
+    pub(super) fn end_lost(&mut self, now: Millis, id: TaskId) {
+        let idempotent = self.fleet.tasks.get(&id).is_some_and(|task| task.idempotent);
+        let sent = self.runs.rows.get(&id).is_some_and(|run| run.starts > 0 || run.stage == RunStage::Unsure);
+        if !sent {
+            self.requeue(now, id, StopProof::NeverStarted);
+        } else if idempotent {
+            self.requeue(now, id, StopProof::WorkerLost);
+        } else {
+            self.end_task(
+                now,
+                id,
+                TaskOutcome::Unknown("the worker was lost while the task may have run".into()),
+            );
+        }
+    }
+
+    /// Lets the task wait again. Without a start record in the log, the queue is enough.
+    pub(super) fn requeue(&mut self, now: Millis, task: TaskId, proof: StopProof) {
+        let Some(run) = self.runs.rows.get_mut(&task) else {
+            return;
+        };
+        let attempt = run.attempt;
+        let noted = run.recorded || self.appends.contains(|r| is_start(r, task, attempt));
+        if noted {
+            self.close_run(task);
+            self.note(now, Record::TaskRequeued { task, attempt, proof });
+        } else {
+            self.drop_run(now, task);
+        }
+    }
+
+    pub(super) fn end_task(&mut self, now: Millis, task: TaskId, outcome: TaskOutcome) {
+        let Some(attempt) = self.runs.rows.get(&task).map(|run| run.attempt) else {
+            return;
+        };
+        self.close_run(task);
+        self.runs.checkpoints.remove(&task);
+        self.note(now, Record::TaskEnded { task, attempt, outcome });
+    }
+
+    /// Gives the slot back; the row stays until the final record is in the log.
+    fn close_run(&mut self, id: TaskId) {
+        let Some(run) = self.runs.rows.remove(&id) else {
+            return;
+        };
+        let team = self.fleet.tasks.get(&id).map(|task| (task.pool, task.team));
+        if run.stage != RunStage::Ended
+            && let Some((pool, team)) = team
+        {
+            let row = self.shares.row(pool, team);
+            row.running = row.running.saturating_sub(1);
+            self.upstreams.end(run.worker, team, true);
+        }
+        run.permit.close(&mut self.uses);
+        let permit = Permit::none();
+        self.runs.rows.insert(id, Run { stage: RunStage::Ended, permit, ..run });
+    }
+
+    /// Forgets an attempt; its task is queued again if it still waits.
+    pub(super) fn drop_run(&mut self, now: Millis, id: TaskId) {
+        self.close_run(id);
+        if let Some(run) = self.runs.rows.remove(&id) {
+            run.permit.close(&mut self.uses);
+        }
+        self.adopt(now, id);
+    }
+}
+
+fn new_run(now: Millis, attempt: u32, worker: WorkerId, permit: Permit) -> Run {
+    Run {
+        attempt,
+        worker,
+        permit,
+        stage: RunStage::Leasing,
+        recorded: false,
+        nonce: 0,
+        starts: 0,
+        lease: 0,
+        lapses: now,
+        renew: now,
+        ask: now,
+        began: now,
+        stop: None,
+    }
+}
+
+/// Asks often at first and then in step with the age of the attempt.
+fn ask_interval(age_ms: u64) -> u64 {
+    (age_ms / 4).clamp(ASK_MS, ASK_CAP_MS)
+}
+
+fn is_start(record: &Record, id: TaskId, number: u32) -> bool {
+    matches!(record, Record::TaskStarted { task, attempt, .. } if *task == id && *attempt == number)
+}
+
+fn touched_task(origin: Origin, record: &Record) -> Option<TaskId> {
+    match (origin, record) {
+        (Origin::Member(member), Record::TaskAccepted(task)) => Some(TaskId { member, number: task.number }),
+        (_, Record::TaskStarted { task, .. } | Record::TaskRequeued { task, .. }) => Some(*task),
+        (_, Record::TaskEnded { task, .. } | Record::TaskCancelled { task }) => Some(*task),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/systems/workers.rs
@@ -0,0 +1,102 @@
+//! Workers: the platform's list, and probes after failed connections.
+
+use super::super::command::Command;
+use super::super::event::List;
+use super::super::{Engine, Millis};
+use super::duty::Duty;
+use crate::fleet::{Worker, WorkerState};
+use crate::ids::WorkerId;
+use crate::record::{Record, WorkerSeen};
+
+impl Engine {
+    pub(in crate::engine) fn read_list(&mut self, now: Millis, list: List) {
+        let older = self.list.as_ref().is_some_and(|(_, last)| last.version > list.version);
+        if older {
+            return;
+        }
+        for seen in &list.workers {
+            if let Some(id) = self.fleet.worker(&seen.name) {
+                self.upstreams.row(id).leaving = seen.leaving;
+            }
+        }
+        self.list = Some((now, list));
+    }
+
+    pub(in crate::engine) fn run_workers(&mut self, now: Millis) {
+        if self.member().is_none() || self.list.is_none() {
+            return;
+        }
+        let changed = self.changed_workers();
+        if changed.is_empty() {
+            self.clear_duty(Duty::WorkerList);
+        } else if self.is_turn(now, Duty::WorkerList) {
+            for seen in changed {
+                self.note_once(now, Record::WorkerSeen(seen));
+            }
+        }
+        self.lose_absent_workers(now);
+    }
+
+    /// Workers that the list shows otherwise than the log.
+    fn changed_workers(&self) -> Vec<WorkerSeen> {
+        let listed = self.list.iter().flat_map(|(_, list)| &list.workers);
+        let changed = |seen: &&WorkerSeen| {
+            let known = self.fleet.worker(&seen.name).map(|id| &self.fleet.workers[&id]);
+            self.fleet.pool(&seen.pool).is_some() && known.is_none_or(|worker| differs(worker, seen))
+        };
+        listed.filter(changed).cloned().collect()
+    }
+
+    /// Writes off workers that the list has not shown for the longest lag of the list.
+    fn lose_absent_workers(&mut self, now: Millis) {
+        let absent: Vec<WorkerId> = self.absent_workers().collect();
+        self.absent.retain(|id, _| absent.contains(id));
+        for worker in absent {
+            let since = *self.absent.entry(worker).or_insert(now);
+            let due = now.since(since) >= self.options.list_lag_ms;
+            if due && self.is_turn(now, Duty::LoseWorker(worker)) {
+                self.note_once(now, Record::WorkerLost { worker });
+            }
+        }
+    }
+
+    fn absent_workers(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        let listed = self.list.iter().flat_map(|(_, list)| &list.workers);
+        let names: std::collections::BTreeSet<&str> = listed.map(|seen| seen.name.as_str()).collect();
+        let known = self.fleet.workers.iter().filter(|(_, w)| w.state != WorkerState::Lost);
+        known.filter(move |(_, w)| !names.contains(w.name.as_str())).map(|(id, _)| *id)
+    }
+
+    /// Asks for a fresh connection to a worker, unless a probe is under way.
+    pub(super) fn probe(&mut self, worker: WorkerId) {
+        let Some(address) = self.fleet.workers.get(&worker).map(|w| w.address.clone()) else {
+            return;
+        };
+        let row = self.upstreams.row(worker);
+        if !row.probing {
+            row.probing = true;
+            self.emit(Command::Probe { worker, address });
+        }
+    }
+
+    pub(in crate::engine) fn end_probe(&mut self, now: Millis, worker: WorkerId, alive: bool) {
+        let row = self.upstreams.row(worker);
+        row.probing = false;
+        if alive {
+            row.recover();
+        } else {
+            row.fail(now);
+        }
+    }
+}
+
+fn differs(worker: &Worker, seen: &WorkerSeen) -> bool {
+    let stopping = matches!(worker.state, WorkerState::Leaving | WorkerState::Lost);
+    let state = seen.leaving != (worker.state == WorkerState::Leaving);
+    let state = state && (stopping || seen.leaving) && worker.state != WorkerState::Maintenance;
+    state
+        || worker.state == WorkerState::Lost
+        || worker.nonce != seen.nonce
+        || worker.address != seen.address
+        || worker.slots != seen.slots
+}
--- a/crates/core/src/fleet/apply.rs
+++ b/crates/core/src/fleet/apply.rs
@@ -111,6 +111,11 @@
         Applied { duplicate: false, results }
     }
 
+    /// Passes over an entry that does not decode.
+    pub fn pass(&mut self, offset: Offset) {
+        self.applied = self.applied.max(Some(offset));
+    }
+
     fn accept_sequence(&mut self, id: MemberId, sequence: u64) -> Sequence {
         let Some(member) = self.members.get_mut(&id) else {
             return Sequence::Ended;
@@ -159,8 +164,8 @@
             Record::MoveLeft { worker, to } => self.start_move(offset, *worker, to),
             Record::MoveJoined { worker } => self.end_move(*worker),
             Record::TaskAccepted(task) => self.accept_task(author, task),
-            Record::TaskStarted { task, attempt, worker } => {
-                self.start_task(author, *task, *attempt, *worker)
+            Record::TaskStarted { task, attempt, worker, nonce } => {
+                self.start_task(author, *task, *attempt, *worker, *nonce)
             }
             Record::TaskRequeued { task, attempt, proof } => {
                 self.requeue_task(offset, author, *task, *attempt, *proof)
--- a/crates/core/src/fleet/tables.rs
+++ b/crates/core/src/fleet/tables.rs
@@ -173,6 +173,8 @@
         attempt: u32,
         /// Worker.
         worker: WorkerId,
+        /// Random number of the worker's process at the start.
+        nonce: u64,
     },
     /// Ended at this offset.
     Ended {
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -51,6 +51,7 @@
         id: TaskId,
         attempt: u32,
         worker: WorkerId,
+        nonce: u64,
     ) -> Result<Effect, VoidReason> {
         let row = self.workers.get(&worker).ok_or(VoidReason::Unknown("worker"))?;
         let takes_work = self.takes_work(row);
@@ -60,7 +61,7 @@
             return Err(VoidReason::State);
         }
         task.attempts = attempt;
-        task.state = TaskState::Started { attempt, worker };
+        task.state = TaskState::Started { attempt, worker, nonce };
         Ok(Effect::Task(id))
     }
 
@@ -74,7 +75,7 @@
         proof: StopProof,
     ) -> Result<Effect, VoidReason> {
         let task = self.owned_task(author, id)?;
-        let TaskState::Started { attempt: started, worker } = task.state else {
+        let TaskState::Started { attempt: started, worker, .. } = task.state else {
             return Err(VoidReason::State);
         };
         let proven = proof != StopProof::WorkerLost || task.idempotent;
--- a/crates/core/src/fleet/workers.rs
+++ b/crates/core/src/fleet/workers.rs
@@ -93,6 +93,22 @@
         self.stop_serving(id, WorkerState::Draining(offset))
     }
 
+    /// True if a drain of the worker would be allowed now.
+    #[must_use]
+    pub fn can_drain(&self, id: WorkerId) -> bool {
+        let Some(worker) = self.workers.get(&id) else {
+            return false;
+        };
+        self.check_drains(worker.pool).is_ok()
+            && self.check_budget(worker.pool, |w| w.name != worker.name).is_ok()
+    }
+
+    /// True if every live member has confirmed its stop at an offset.
+    #[must_use]
+    pub fn is_quiet(&self, since: Offset) -> bool {
+        self.unconfirmed(since).is_none()
+    }
+
     fn check_drains(&self, pool: PoolId) -> Result<(), VoidReason> {
         let name = &self.pools[&pool].name;
         let allowed = self.declaration.exception("drains", name, "");
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -168,6 +168,9 @@
         attempt: u32,
         /// Worker that the start goes to.
         worker: WorkerId,
+        /// Random number of the worker's process that granted the lease. A worker that restarted has forgotten what
+        /// it ran, so its word that it never ran a task counts only under the same number.
+        nonce: u64,
     },
     /// The last start of a task did not run or ended without result; the task waits again.
     TaskRequeued {
--- /dev/null
+++ b/crates/core/tests/bench/mod.rs
@@ -0,0 +1,411 @@
+//! Fakes around engines for scenario tests: one log, workers that run requests and tasks, virtual time.
+//!
+//! The fakes only answer the engines' commands. Faults are switches on them: a log that is down or loses answers, a
+//! worker that is dead, full or silent, an entry instance that is frozen, killed or cut off.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the fakes")]
+
+pub mod worker;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rattanfall_core::declaration::Declaration;
+use rattanfall_core::engine::command::{Command, ProposalError, Refusal};
+use rattanfall_core::engine::event::{
+    AttemptEnd, List, ListedEntry, Submission, TaskSubmission, WorkerRefusal,
+};
+use rattanfall_core::engine::{Engine, Event, Millis, Options, RequestKey, TICK_MS, Ticket};
+use rattanfall_core::fleet::{Effect, Fleet};
+use rattanfall_core::ids::{Offset, TaskId, TeamId, WorkerId};
+use rattanfall_core::record::{Batch, Class, KeyHash, Record, WorkerSeen};
+use worker::FakeWorker;
+
+/// Entry instance with its switches.
+pub struct Node {
+    pub engine: Engine,
+    /// True if its process takes no step.
+    pub frozen: bool,
+    /// True if it reaches neither the log nor its peers.
+    pub cut: bool,
+    pub killed: bool,
+    pub exited: bool,
+    pub refused: BTreeMap<RequestKey, Refusal>,
+    pub resolved: BTreeMap<Ticket, Result<(Offset, Effect), ProposalError>>,
+    /// Requests that this node handed to workers: worker, end of the run.
+    flying: BTreeMap<RequestKey, (String, u64)>,
+    pub answered: u64,
+}
+
+/// Fakes around a few engines.
+pub struct Bench {
+    pub now: Millis,
+    pub log: Vec<Batch>,
+    pub log_down: bool,
+    /// The next appends take effect, but their answers are lost.
+    pub lose_answers: u32,
+    pub nodes: BTreeMap<String, Node>,
+    pub workers: BTreeMap<String, FakeWorker>,
+    pub list_version: u64,
+    /// Run time of each request, in milliseconds.
+    pub work_ms: u64,
+    /// Highest running work seen per team, over all workers.
+    pub peak: BTreeMap<TeamId, u32>,
+    nonces: u64,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Self {
+            now: Millis(0),
+            log: Vec::new(),
+            log_down: false,
+            lose_answers: 0,
+            nodes: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            list_version: 1,
+            work_ms: 100,
+            peak: BTreeMap::new(),
+            nonces: 0,
+        }
+    }
+
+    /// Starts an entry instance. A second start under a name replaces the process.
+    pub fn start(&mut self, name: &str, zone: &str) {
+        self.nonces += 1;
+        let options = Options {
+            name: name.into(),
+            zone: zone.into(),
+            address: format!("127.0.0.1:{}", 7000 + self.nonces),
+            nonce: self.nonces,
+            list_lag_ms: 2_000,
+            ..Options::default()
+        };
+        let node = Node {
+            engine: Engine::new(options, self.nonces),
+            frozen: false,
+            cut: false,
+            killed: false,
+            exited: false,
+            refused: BTreeMap::new(),
+            resolved: BTreeMap::new(),
+            flying: BTreeMap::new(),
+            answered: 0,
+        };
+        self.nodes.insert(name.into(), node);
+        self.list_version += 1;
+    }
+
+    pub fn add_worker(&mut self, name: &str, pool: &str, zone: &str, rack: &str, slots: u32) {
+        self.nonces += 1;
+        self.workers.insert(name.into(), FakeWorker::new(self.nonces, pool, zone, rack, slots));
+        self.list_version += 1;
+    }
+
+    pub fn node(&mut self, name: &str) -> &mut Node {
+        self.nodes.get_mut(name).expect("node exists")
+    }
+
+    pub fn fleet(&self, name: &str) -> &Fleet {
+        self.nodes[name].engine.fleet()
+    }
+
+    pub fn propose(&mut self, name: &str, record: Record) -> Ticket {
+        let now = self.now;
+        self.node(name).engine.propose(now, record)
+    }
+
+    pub fn configure(&mut self, name: &str, declaration: &Declaration) -> Ticket {
+        let base = self.fleet(name).version;
+        self.propose(name, Record::ConfigChanged { base, declaration: declaration.clone() })
+    }
+
+    pub fn submit(
+        &mut self,
+        name: &str,
+        key: KeyHash,
+        pool: &str,
+        idempotent: bool,
+        deadline_ms: u64,
+    ) -> RequestKey {
+        let now = self.now;
+        let submission = Submission {
+            key: Some(key),
+            pool: pool.into(),
+            class: Class::Normal,
+            idempotent,
+            deadline_ms: Some(deadline_ms),
+        };
+        let request = self.node(name).engine.submit(now, submission);
+        self.carry_out(name);
+        request
+    }
+
+    pub fn submit_task(
+        &mut self,
+        name: &str,
+        key: KeyHash,
+        pool: &str,
+        idempotent: bool,
+        ms: u64,
+    ) -> Option<Ticket> {
+        let now = self.now;
+        let submission = TaskSubmission {
+            key: Some(key),
+            pool: pool.into(),
+            class: Class::Normal,
+            idempotent,
+            token: None,
+            payload: format!("{}:{ms}", self.team(key).0).into_bytes(),
+        };
+        self.node(name).engine.submit_task(now, submission).ok()
+    }
+
+    fn team(&self, key: KeyHash) -> TeamId {
+        let known = self.nodes.values().find_map(|n| {
+            let fleet = n.engine.fleet();
+            fleet.hashes.get(&key).map(|id| fleet.keys[id].team)
+        });
+        known.unwrap_or_default()
+    }
+
+    /// Runs for a time, one tick after the other.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms / TICK_MS {
+            self.now = self.now.plus(TICK_MS);
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            worker.advance(now.0);
+        }
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        for name in &names {
+            self.step_node(name);
+        }
+        self.measure();
+    }
+
+    fn step_node(&mut self, name: &str) {
+        let now = self.now;
+        if !self.nodes[name].acts() {
+            return;
+        }
+        self.deliver_log(name);
+        self.deliver_list(name);
+        self.deliver_ends(name);
+        self.node(name).engine.tick(now);
+        self.carry_out(name);
+    }
+
+    fn deliver_log(&mut self, name: &str) {
+        if self.log_down || self.nodes[name].cut {
+            return;
+        }
+        let now = self.now;
+        let node = self.nodes.get_mut(name).expect("node exists");
+        let next = node.engine.fleet().applied.map_or(1, |last| last.0 + 1);
+        let first = usize::try_from(next - 1).expect("small log");
+        for (index, batch) in self.log.iter().enumerate().skip(first) {
+            let offset = Offset(index as u64 + 1);
+            node.engine.handle(now, Event::LogBatch { offset, batch: batch.clone() });
+        }
+        node.engine.handle(now, Event::LogEnd);
+    }
+
+    fn deliver_list(&mut self, name: &str) {
+        if self.log_down || self.nodes[name].cut {
+            return;
+        }
+        let list = self.list();
+        let now = self.now;
+        self.node(name).engine.handle(now, Event::List(list));
+    }
+
+    fn list(&self) -> List {
+        let entries = self.nodes.values().filter(|n| !n.killed && !n.exited);
+        let entry = |n: &Node| ListedEntry {
+            name: n.engine.options().name.clone(),
+            nonce: n.engine.options().nonce,
+            leaving: false,
+        };
+        let workers = self.workers.iter().filter(|(_, w)| !w.dead);
+        let seen = |(name, w): (&String, &FakeWorker)| WorkerSeen {
+            name: name.clone(),
+            nonce: w.nonce,
+            address: name.clone(),
+            zone: w.zone.clone(),
+            rack: w.rack.clone(),
+            pool: w.pool.clone(),
+            slots: w.slots,
+            leaving: w.leaving,
+        };
+        List {
+            version: self.list_version,
+            entries: entries.map(entry).collect(),
+            workers: workers.map(seen).collect(),
+        }
+    }
+
+    fn deliver_ends(&mut self, name: &str) {
+        let now = self.now;
+        let node = self.nodes.get_mut(name).expect("node exists");
+        let done: Vec<RequestKey> =
+            node.flying.iter().filter(|(_, (_, end))| *end <= now.0).map(|(key, _)| *key).collect();
+        for request in done {
+            let (worker, _) = node.flying.remove(&request).expect("request is flying");
+            let worker = &self.workers[&worker];
+            let end =
+                if worker.dead { AttemptEnd::Broken } else { AttemptEnd::Answered { failed: worker.fails } };
+            if matches!(end, AttemptEnd::Answered { .. }) {
+                node.answered += 1;
+            }
+            node.engine.handle(now, Event::RequestEnded { request, end });
+        }
+    }
+
+    fn carry_out(&mut self, name: &str) {
+        loop {
+            let commands = self.node(name).engine.take_commands();
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                self.carry(name, command);
+            }
+        }
+    }
+
+    fn carry(&mut self, name: &str, command: Command) {
+        let now = self.now;
+        match command {
+            Command::Send(order) => self.send(name, &order),
+            Command::Refuse { request, refusal } => drop(self.node(name).refused.insert(request, refusal)),
+            Command::Append(batch) => self.append(name, batch),
+            Command::Resolve { ticket, result } => drop(self.node(name).resolved.insert(ticket, result)),
+            Command::Gossip(digest) => self.gossip(name, &digest),
+            Command::Task(order) => {
+                let Some(worker) = self.workers.get_mut(&order.address) else { return };
+                if let Some(report) = worker.answer(now.0, &order) {
+                    self.node(name).engine.handle(now, Event::TaskReport(report));
+                }
+            }
+            Command::Probe { worker, address } => {
+                let alive = self.workers.get(&address).is_some_and(|w| !w.dead);
+                self.node(name).engine.handle(now, Event::Probed { worker, alive });
+            }
+            Command::Reboot { worker, name: target, pool, .. } => self.reboot(name, worker, &target, &pool),
+            Command::Exit => self.node(name).exited = true,
+            Command::Rejoin => {
+                let zone = self.nodes[name].engine.options().zone.clone();
+                self.start(name, &zone);
+            }
+        }
+    }
+
+    fn send(&mut self, name: &str, order: &rattanfall_core::engine::command::Send) {
+        let now = self.now;
+        let work_ms = self.work_ms;
+        let team = self.team_of(name, order.request);
+        let refusal = match self.workers.get_mut(&order.address) {
+            None => Some(AttemptEnd::Unsent),
+            Some(worker) if worker.dead => Some(AttemptEnd::Unsent),
+            Some(worker) if worker.pool != order.pool => Some(AttemptEnd::Refused(WorkerRefusal::WrongPool)),
+            Some(worker) if worker.leaving => Some(AttemptEnd::Refused(WorkerRefusal::Leaving)),
+            Some(worker) if worker.running() >= worker.slots => {
+                Some(AttemptEnd::Refused(WorkerRefusal::Full))
+            }
+            Some(worker) => {
+                let ms = if worker.fails { 1 } else { work_ms };
+                worker.start_request(team, now.0 + ms);
+                self.node(name).flying.insert(order.request, (order.address.clone(), now.0 + ms));
+                None
+            }
+        };
+        if let Some(end) = refusal {
+            self.node(name).engine.handle(now, Event::RequestEnded { request: order.request, end });
+        }
+    }
+
+    fn team_of(&self, name: &str, request: RequestKey) -> TeamId {
+        self.nodes[name].engine.team_of(request).unwrap_or_default()
+    }
+
+    fn append(&mut self, name: &str, batch: Batch) {
+        let now = self.now;
+        let sequence = batch.sequence;
+        let reachable = !self.log_down && !self.nodes[name].cut;
+        let lost = reachable && self.lose_answers > 0;
+        if reachable {
+            self.log.push(batch);
+        }
+        if lost {
+            self.lose_answers -= 1;
+        }
+        let accepted = reachable && !lost;
+        self.node(name).engine.handle(now, Event::AppendEnded { sequence, accepted });
+    }
+
+    fn gossip(&mut self, name: &str, digest: &rattanfall_core::engine::event::Digest) {
+        if self.nodes[name].cut {
+            return;
+        }
+        let now = self.now;
+        for (other, node) in &mut self.nodes {
+            if other != name && node.acts() && !node.cut {
+                node.engine.handle(now, Event::Digest(digest.clone()));
+            }
+        }
+    }
+
+    fn reboot(&mut self, name: &str, worker: WorkerId, target: &str, pool: &str) {
+        let now = self.now;
+        self.nonces += 1;
+        let nonce = self.nonces;
+        let row = self.workers.get_mut(target).expect("worker exists");
+        assert_eq!(row.running(), 0, "reboot of {target} cuts running work");
+        row.nonce = nonce;
+        row.pool = pool.into();
+        row.reboots += 1;
+        self.list_version += 1;
+        self.node(name).engine.handle(now, Event::Rebooted(worker));
+    }
+
+    /// Ends the process of an entry instance; what it sent goes on running at the workers.
+    pub fn kill(&mut self, name: &str) {
+        self.node(name).killed = true;
+        self.list_version += 1;
+    }
+
+    /// Asks an entry instance to stop gracefully.
+    pub fn stop(&mut self, name: &str) {
+        let now = self.now;
+        self.node(name).engine.handle(now, Event::Stop);
+    }
+
+    fn measure(&mut self) {
+        let mut running: BTreeMap<TeamId, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for team in worker.teams() {
+                *running.entry(team).or_default() += 1;
+            }
+        }
+        for (team, slots) in running {
+            let peak = self.peak.entry(team).or_default();
+            *peak = (*peak).max(slots);
+        }
+    }
+
+    /// Task ids of all accepted tasks, by the view of one node.
+    pub fn tasks(&self, name: &str) -> BTreeSet<TaskId> {
+        self.fleet(name).tasks.keys().copied().collect()
+    }
+}
+
+impl Node {
+    pub fn acts(&self) -> bool {
+        !self.frozen && !self.killed && !self.exited
+    }
+}
--- a/crates/wire/src/worker/mod.rs
+++ b/crates/wire/src/worker/mod.rs
@@ -55,6 +55,8 @@
     pub lease: u64,
     /// Time until it lapses, in milliseconds.
     pub ttl_ms: u64,
+    /// Random number of the worker's process.
+    pub nonce: u64,
 }
 
 /// Body of `POST /worker/tasks`.
@@ -96,6 +98,8 @@
     pub state: RunState,
     /// Last attempt; 0 if it never started.
     pub attempt: u32,
+    /// Random number of the worker's process. A restarted worker has another one and knows no earlier task.
+    pub nonce: u64,
     /// Result in base64, if done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub result: Option<String>,
