Carry the worker's nonce in task reports

Cause: the merged engine tells a restarted worker from one that never ran an attempt by the worker's nonce. Change: leases and task states pass the nonce on; a reboot that is not seen to end is given up after 55 s, because the engine orders it again after 60 s and two loops could reboot a worker twice. Builds; not run yet.

--- a/crates/entry/src/operators/explain.rs
+++ b/crates/entry/src/operators/explain.rs
@@ -29,7 +29,7 @@
 fn reasons(fleet: &Fleet, task: &Task) -> Vec<String> {
     let mut reasons = match &task.state {
         TaskState::Waiting => waiting(fleet, task),
-        TaskState::Started { attempt, worker } => {
+        TaskState::Started { attempt, worker, .. } => {
             let name = fleet.workers.get(worker).map_or("a worker", |worker| &worker.name);
             vec![format!("attempt {attempt} was started on {name}")]
         }
--- a/crates/entry/src/platform/reboot.rs
+++ b/crates/entry/src/platform/reboot.rs
@@ -20,8 +20,8 @@
 const POLL: Duration = Duration::from_millis(200);
 /// Time limit of a status call.
 const STATUS: Duration = Duration::from_secs(1);
-/// Status calls after which the platform is asked again, in case it lost the order: 30 s.
-const POLLS: u32 = 150;
+/// Status calls after which a reboot is given up: 55 s. The engine orders it again after 60 s.
+const POLLS: u32 = 275;
 
 /// Reboots in progress. One worker is rebooted once at a time.
 #[derive(Debug)]
@@ -46,14 +46,12 @@
         }
         let before = self.status(worker).await.map(|status| status.nonce);
         let before = before.or_else(|| self.listed(worker).map(|(nonce, _)| nonce));
-        while self.wanted(worker) {
-            if let Err(error) = self.platform.reboot(name, pool).await {
-                log::warn!("the reboot of worker {name} was not confirmed: {error}");
-            }
-            if self.answers(worker, pool, before).await {
-                self.shell.handle(Event::Rebooted(worker));
-                break;
-            }
+        // An unconfirmed order may have taken effect, so the worker is polled in either case.
+        if let Err(error) = self.platform.reboot(name, pool).await {
+            log::warn!("the reboot of worker {name} was not confirmed: {error}");
+        }
+        if self.answers(worker, pool, before).await {
+            self.shell.handle(Event::Rebooted(worker));
         }
         self.active.lock().remove(&worker);
     }
--- a/crates/entry/src/shell/outbox.rs
+++ b/crates/entry/src/shell/outbox.rs
@@ -108,7 +108,7 @@
         log::error!("the order queue is full; an order is handed back");
         match order {
             Order::Task(TaskOrder { task, attempt, worker, .. }) => {
-                let report = TaskReport { task, attempt, worker, answer: TaskAnswer::Unsent };
+                let report = TaskReport { task, attempt, worker, answer: TaskAnswer::Unsent, nonce: 0 };
                 shell.handle(Event::TaskReport(report));
             }
             Order::Probe { worker, .. } => shell.handle(Event::Probed { worker, alive: false }),
--- a/crates/entry/src/upstreams/orders.rs
+++ b/crates/entry/src/upstreams/orders.rs
@@ -1,5 +1,6 @@
 //! Calls to workers about tasks, and probes.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,10 +34,10 @@
     let asked = shell.now();
     let leased = |reply: &Reply| {
         let lease: Lease = reply.parse()?;
-        Some(TaskAnswer::Leased { lease: lease.lease, ttl_ms: lease.ttl_ms, asked })
+        Some((TaskAnswer::Leased { lease: lease.lease, ttl_ms: lease.ttl_ms, asked }, lease.nonce))
     };
     let status = |reply: &Reply| status_answer(reply, attempt);
-    let answer = match verb {
+    let (answer, nonce) = match verb {
         TaskVerb::Lease { pool: name } => {
             let request =
                 Call::new(Method::POST, "/worker/leases", CALL).json(&AskLease { pool: name, ..ask });
@@ -51,7 +52,7 @@
             let checkpoint = checkpoint.map(|bytes| STANDARD.encode(bytes));
             let start = StartTask { lease, task: id, attempt, payload, checkpoint };
             let request = Call::new(Method::POST, "/worker/tasks", CALL).json(&start);
-            answer(call(pool, &address, request).await, |_| Some(TaskAnswer::Running))
+            answer(call(pool, &address, request).await, |_| Some((TaskAnswer::Running, 0)))
         }
         TaskVerb::Query => {
             let request = Call::new(Method::GET, format!("/worker/tasks/{id}"), CALL);
@@ -62,22 +63,24 @@
             answer(call(pool, &address, request).await, status)
         }
     };
-    TaskReport { task, attempt, worker, answer }
+    TaskReport { task, attempt, worker, answer, nonce }
 }
 
-fn answer(reply: Result<Reply, CallError>, parse: impl FnOnce(&Reply) -> Option<TaskAnswer>) -> TaskAnswer {
+/// Answer and the worker's nonce; 0 if it gave none.
+fn answer(
+    reply: Result<Reply, CallError>,
+    parse: impl FnOnce(&Reply) -> Option<(TaskAnswer, u64)>,
+) -> (TaskAnswer, u64) {
     let reply = match reply {
         Ok(reply) => reply,
-        Err(CallError::Unsent) => return TaskAnswer::Unsent,
-        Err(CallError::NoAnswer) => return TaskAnswer::NoAnswer,
+        Err(CallError::Unsent) => return (TaskAnswer::Unsent, 0),
+        Err(CallError::NoAnswer) => return (TaskAnswer::NoAnswer, 0),
     };
     if let Some(refusal) = refusal(&reply) {
-        return TaskAnswer::Refused(refusal);
+        return (TaskAnswer::Refused(refusal), 0);
     }
-    if !reply.status.is_success() {
-        return TaskAnswer::NoAnswer;
-    }
-    parse(&reply).unwrap_or(TaskAnswer::NoAnswer)
+    let parsed = if reply.status.is_success() { parse(&reply) } else { None };
+    parsed.unwrap_or((TaskAnswer::NoAnswer, 0))
 }
 
 fn refusal(reply: &Reply) -> Option<WorkerRefusal> {
@@ -87,27 +90,29 @@
 
 /// What a worker's status says about an attempt. The status is about the worker's last attempt: an earlier one
 /// means that ours never started, a later one that ours has stopped.
-fn status_answer(reply: &Reply, attempt: u32) -> Option<TaskAnswer> {
+fn status_answer(reply: &Reply, attempt: u32) -> Option<(TaskAnswer, u64)> {
     let status: TaskStatus = reply.parse()?;
-    if status.attempt < attempt {
-        return Some(TaskAnswer::Never);
-    }
-    if status.attempt > attempt {
-        return Some(TaskAnswer::Stopped { checkpoint: None });
-    }
+    let nonce = status.nonce;
+    let answer = match status.attempt.cmp(&attempt) {
+        Ordering::Less => TaskAnswer::Never,
+        Ordering::Greater => TaskAnswer::Stopped { checkpoint: None },
+        Ordering::Equal => current_answer(status)?,
+    };
+    Some((answer, nonce))
+}
+
+fn current_answer(status: TaskStatus) -> Option<TaskAnswer> {
     Some(match status.state {
         RunState::Never => TaskAnswer::Never,
         RunState::Running => TaskAnswer::Running,
-        RunState::Done => TaskAnswer::Done(decode(status.result)?),
+        RunState::Done => TaskAnswer::Done(decode(&status.result.unwrap_or_default())?),
         RunState::Failed => TaskAnswer::Failed(status.reason.unwrap_or_else(|| "no reason given".into())),
-        RunState::Stopped => {
-            TaskAnswer::Stopped { checkpoint: status.checkpoint.and_then(|c| decode(Some(c))) }
-        }
+        RunState::Stopped => TaskAnswer::Stopped { checkpoint: status.checkpoint.and_then(|c| decode(&c)) },
     })
 }
 
-fn decode(text: Option<String>) -> Option<Vec<u8>> {
-    STANDARD.decode(text.unwrap_or_default()).ok()
+fn decode(text: &str) -> Option<Vec<u8>> {
+    STANDARD.decode(text).ok()
 }
 
 /// True if the address answers a status call on a fresh connection.
