Test the entry process against fakes and let its servers stop

Cause: the entry process had no tests. The first run of the shutdown test hung: a closed listener's accept never returned, so the server's threads never ended (10 minutes, ended by hand). Ruled out: an error from accept as soon as the listener closes; the server takes the end of its accepting tasks as the end of the server and drops open connections. Change: a closed listener accepts nothing until the server's accepting runtime ends; closing is bounded.

--- a/crates/entry/src/instance/mod.rs
+++ b/crates/entry/src/instance/mod.rs
@@ -29,6 +29,9 @@
 /// Interval at which old connections are closed.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Time limit for closing the servers.
+const CLOSE: Duration = Duration::from_secs(5);
+
 /// Failure to start.
 #[derive(Debug, Error, Diagnostic)]
 pub enum StartError {
@@ -129,7 +132,9 @@
             callers.close();
             operators.close();
         };
-        let _ = tokio::task::spawn_blocking(close).await;
+        if timeout(CLOSE, tokio::task::spawn_blocking(close)).await.is_err() {
+            log::warn!("the servers did not close in time");
+        }
         self.tasks.shutdown().await;
         done
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,7 +35,9 @@
     logs::start(&config.log);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(THREADS).enable_all().build();
     let runtime = runtime.into_diagnostic()?;
-    runtime.block_on(serve(config))
+    let served = runtime.block_on(serve(config));
+    runtime.shutdown_background();
+    served
 }
 
 async fn serve(config: Config) -> miette::Result<()> {
--- a/crates/entry/src/server/gate.rs
+++ b/crates/entry/src/server/gate.rs
@@ -14,6 +14,8 @@
 pub struct Gate {
     pending: Arc<Mutex<Option<TcpListener>>>,
     open: Arc<watch::Sender<Option<Arc<tokio::net::TcpListener>>>>,
+    /// Closed once the server's accepting runtime has ended.
+    ended: Arc<Mutex<Option<watch::Receiver<()>>>>,
 }
 
 impl Gate {
@@ -21,7 +23,7 @@
     pub(super) fn new(listener: TcpListener) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let pending = Arc::new(Mutex::new(Some(listener)));
-        Ok(Self { pending, open: Arc::new(watch::channel(None).0) })
+        Ok(Self { pending, open: Arc::new(watch::channel(None).0), ended: Arc::default() })
     }
 
     /// Closes the socket, so that new connections are refused at once.
@@ -29,6 +31,14 @@
         self.pending.lock().take();
         self.open.send_replace(None);
     }
+
+    /// Waits for the end of the accepting runtime. The server's threads end only after their accepting tasks have.
+    async fn wait_for_end(&self) {
+        let ended = self.ended.lock().clone();
+        if let Some(mut ended) = ended {
+            while ended.changed().await.is_ok() {}
+        }
+    }
 }
 
 impl IntoListener for Gate {
@@ -40,17 +50,25 @@
         if let Some(listener) = listener {
             self.open.send_replace(Some(Arc::new(tokio::net::TcpListener::from_std(listener)?)));
         }
+        let (running, ended) = watch::channel(());
+        tokio::spawn(async move {
+            std::future::pending::<()>().await;
+            drop(running);
+        });
+        *self.ended.lock() = Some(ended);
         Ok(self)
     }
 }
 
 impl Listen for Gate {
+    /// Accepts a connection. A closed gate accepts none and fails once the runtime has ended.
     async fn accept(&self) -> io::Result<Stream> {
         let mut changes = self.open.subscribe();
         loop {
             let listener = changes.borrow_and_update().clone();
             let Some(listener) = listener else {
-                return std::future::pending().await;
+                self.wait_for_end().await;
+                return Err(io::ErrorKind::BrokenPipe.into());
             };
             tokio::select! {
                 accepted = listener.accept() => {
--- /dev/null
+++ b/crates/entry/tests/stop.rs
@@ -0,0 +1,36 @@
+//! Graceful shutdown.
+
+mod support;
+
+use rattanfall_core::record::Record;
+use support::http::{read_answer, send};
+use support::worker::Mode;
+use support::world::{KEY, World};
+use support::{PATIENCE, until};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Guards against a shutdown that interrupts a request, takes new work, or leaves holds behind (P10).
+#[tokio::test(flavor = "multi_thread")]
+async fn finishes_running_work_before_it_leaves() {
+    let World { platform, worker, instance } = World::start().await;
+    worker.next([Mode::Held]);
+    let mut caller = TcpStream::connect(instance.callers()).await.unwrap();
+    let head =
+        format!("PUT /v1/pools/quotes/call/a HTTP/1.1\r\nhost: t\r\n{KEY}\r\ncontent-length: 4\r\n\r\nwork");
+    caller.write_all(head.as_bytes()).await.unwrap();
+    until("the run", || async { worker.ran() == 1 }).await;
+    let (callers, operators) = (instance.callers(), instance.operators());
+    let stopped = tokio::spawn(instance.stop());
+    until("readiness off", || async { send(operators, "GET", "/readyz", &[], b"").await.status == 503 })
+        .await;
+    until("the closed listener", || async { TcpStream::connect(callers).await.is_err() }).await;
+    assert_eq!(platform.count(|record| matches!(record, Record::Leave)), 0);
+    worker.release();
+    let answer = read_answer(&mut caller, false).await.expect("the answer");
+    assert_eq!((answer.status, answer.text().as_str()), (200, "work"));
+    let stopped = timeout(PATIENCE, stopped).await.expect("the instance did not stop");
+    assert!(stopped.unwrap(), "the shutdown ran into its bound");
+    assert_eq!(platform.count(|record| matches!(record, Record::Leave)), 1);
+}
