--- a/crates/core/src/declaration/validate.rs
+++ b/crates/core/src/declaration/validate.rs
@@ -59,6 +59,7 @@
         positive("payload_bytes", defaults.payload_bytes);
         positive("task_attempts", defaults.task_attempts.into());
         positive("drains", defaults.drains.into());
+        positive("ended_tasks", defaults.ended_tasks.into());
         if defaults.deadline_cap_ms < defaults.deadline_ms {
             problems.push(problem("defaults.deadline_cap_ms".into(), "is below deadline_ms"));
         }
@@ -99,6 +100,7 @@
         if !EXCEPTION_FIELDS.contains(&exception.field.as_str()) {
             problems.push(problem(format!("{path}.field"), "is not a field of the defaults"));
         }
+        self.check_scope(index, exception, &path, problems);
         if exception.pool.as_ref().is_some_and(|pool| !self.pools.contains_key(pool)) {
             problems.push(problem(format!("{path}.pool"), "is not a declared pool"));
         }
@@ -106,6 +108,25 @@
             problems.push(problem(format!("{path}.team"), "is not a declared team"));
         }
     }
+
+    /// Rejects exceptions that would have no effect, or that another one makes ambiguous.
+    fn check_scope(&self, index: usize, exception: &Exception, path: &str, problems: &mut Vec<Problem>) {
+        let field = exception.field.as_str();
+        if field == "ended_tasks" {
+            problems.push(problem(format!("{path}.field"), "counts the whole fleet and has no exceptions"));
+        }
+        let per_pool = field == "drains" || field == "min_serving";
+        if per_pool && exception.team.is_some() {
+            problems.push(problem(format!("{path}.team"), "is not allowed for a field of pools"));
+        }
+        if !per_pool && exception.value == 0 {
+            problems.push(problem(format!("{path}.value"), "must be at least 1"));
+        }
+        let scope = |e: &Exception| (e.field.clone(), e.pool.clone(), e.team.clone());
+        if self.exceptions[..index].iter().any(|other| scope(other) == scope(exception)) {
+            problems.push(problem(path.to_owned(), "repeats an exception for the same pool, team and field"));
+        }
+    }
 }
 
 fn check_name(name: &str, path: &str, problems: &mut Vec<Problem>) {
--- a/crates/core/src/fleet/apply.rs
+++ b/crates/core/src/fleet/apply.rs
@@ -96,51 +96,63 @@
             return Applied { duplicate: true, results: Vec::new() };
         }
         self.applied = Some(offset);
-        let author = match batch.origin {
-            Origin::Joining(_) => None,
-            Origin::Member(id) => Some(id),
-        };
-        if let Some(id) = author {
+        if let Origin::Member(id) = batch.origin {
             match self.accept_sequence(id, batch.sequence) {
                 Sequence::Duplicate => return Applied { duplicate: true, results: Vec::new() },
                 Sequence::Ended => return void_all(batch),
                 Sequence::New => {}
             }
         }
-        let results = batch.records.iter().map(|record| self.apply_record(offset, author, record)).collect();
+        let records = batch.records.iter();
+        let results = records.map(|record| self.apply_record(offset, batch.origin, record)).collect();
         Applied { duplicate: false, results }
     }
 
+    /// Passes over an entry that does not decode on any replica.
+    pub fn skip(&mut self, offset: Offset) {
+        self.applied = self.applied.max(Some(offset));
+    }
+
     fn accept_sequence(&mut self, id: MemberId, sequence: u64) -> Sequence {
         let Some(member) = self.members.get_mut(&id) else {
             return Sequence::Ended;
         };
-        if member.state != MemberState::Live {
-            return Sequence::Ended;
-        }
         if sequence <= member.sequence {
             return Sequence::Duplicate;
         }
+        if member.state != MemberState::Live {
+            return Sequence::Ended;
+        }
         member.sequence = sequence;
         Sequence::New
     }
 
+    /// Author of the next record. Checked for each record, because the records before it in the batch may have
+    /// ended the author.
+    fn live_author(&self, origin: Origin) -> Result<MemberId, VoidReason> {
+        let Origin::Member(id) = origin else {
+            return Err(VoidReason::AuthorEnded);
+        };
+        let live = self.members.get(&id).is_some_and(|m| m.state == MemberState::Live);
+        if live { Ok(id) } else { Err(VoidReason::AuthorEnded) }
+    }
+
     fn apply_record(
         &mut self,
         offset: Offset,
-        author: Option<MemberId>,
+        origin: Origin,
         record: &Record,
     ) -> Result<Effect, VoidReason> {
         if let Record::Join(join) = record {
-            return self.join(offset, join);
+            return self.join(offset, origin, join);
         }
-        let author = author.ok_or(VoidReason::AuthorEnded)?;
+        let author = self.live_author(origin)?;
         match record {
-            Record::Join(join) => self.join(offset, join),
+            Record::Join(join) => self.join(offset, origin, join),
             Record::Leave => self.leave(author),
             Record::Gone { member } => self.gone(offset, *member),
-            Record::Progress { applied } => self.progress(author, *applied),
-            Record::ConfigChanged { base, declaration } => self.configure(*base, declaration),
+            Record::Progress { applied } => self.progress(offset, author, *applied),
+            Record::ConfigChanged { base, declaration } => self.configure(offset, *base, declaration),
             Record::KeyGranted { team, hash } => self.grant_key(team, *hash),
             Record::KeyWithdrawn { key } => self.withdraw_key(*key),
             Record::ZoneRemoved { zone, base } => self.remove_zone(zone, *base),
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -1,12 +1,17 @@
 //! Configuration: declarations, access keys and availability zones.
 
-use super::{AccessKey, Effect, Fleet, Pool, Team, VoidReason, WorkerState, Zone, ZoneState};
+use super::{AccessKey, Effect, Fleet, Pool, TaskState, Team, VoidReason, WorkerState, Zone, ZoneState};
 use crate::declaration::{Declaration, Defaults};
-use crate::ids::{KeyId, PoolId, TeamId, ZoneId};
-use crate::record::KeyHash;
+use crate::ids::{KeyId, Offset, PoolId, TaskId, TeamId, ZoneId};
+use crate::record::{KeyHash, TaskOutcome};
 
 impl Fleet {
-    pub(super) fn configure(&mut self, base: u64, declaration: &Declaration) -> Result<Effect, VoidReason> {
+    pub(super) fn configure(
+        &mut self,
+        offset: Offset,
+        base: u64,
+        declaration: &Declaration,
+    ) -> Result<Effect, VoidReason> {
         if base != self.version {
             return Err(VoidReason::Conflict { base, current: self.version });
         }
@@ -18,14 +23,53 @@
         self.update_pools(declaration);
         self.declaration = declaration.clone();
         self.version += 1;
+        self.end_undeclared_tasks(offset);
         Ok(Effect::Configured(self.version))
     }
 
+    /// Key of a declared team. The rows of removed teams remain, but take no keys and no tasks.
+    pub(super) fn declared_team(&self, name: &str) -> Result<TeamId, VoidReason> {
+        let declared = self.declaration.teams.contains_key(name);
+        self.team(name).filter(|_| declared).ok_or(VoidReason::Unknown("team"))
+    }
+
+    /// Key of a declared pool. The rows of removed pools remain, but take no workers and no tasks.
+    pub(super) fn declared_pool(&self, name: &str) -> Result<PoolId, VoidReason> {
+        let declared = self.declaration.pools.contains_key(name);
+        self.pool(name).filter(|_| declared).ok_or(VoidReason::Unknown("pool"))
+    }
+
+    /// Ends the waiting tasks whose team or pool was removed: no worker would ever take them.
+    fn end_undeclared_tasks(&mut self, offset: Offset) {
+        let waiting = self.tasks.iter().filter(|(_, task)| task.state == TaskState::Waiting);
+        let waiting: Vec<TaskId> = waiting.map(|(id, _)| *id).collect();
+        for id in waiting {
+            if let Some(reason) = self.undeclared(id) {
+                self.set_ended(offset, id, TaskOutcome::Failed(reason));
+            }
+        }
+    }
+
+    /// Why a task can never start, if its team or its pool is no longer declared.
+    pub(super) fn undeclared(&self, id: TaskId) -> Option<String> {
+        let task = self.tasks.get(&id)?;
+        let team = &self.teams.get(&task.team)?.name;
+        let pool = &self.pools.get(&task.pool)?.name;
+        if !self.declaration.teams.contains_key(team) {
+            return Some(format!("team {team} was removed from the configuration"));
+        }
+        let removed = !self.declaration.pools.contains_key(pool);
+        removed.then(|| format!("pool {pool} was removed from the configuration"))
+    }
+
     fn check_removed_pools(&self, declaration: &Declaration) -> Result<(), VoidReason> {
         for worker in self.workers.values().filter(|w| w.state != WorkerState::Lost) {
-            let name = &self.pools[&worker.pool].name;
-            if !declaration.pools.contains_key(name) {
-                return Err(VoidReason::Invalid(format!("pool {name} still has workers")));
+            let target = if let WorkerState::Moving { to, .. } = worker.state { to } else { worker.pool };
+            for pool in [worker.pool, target] {
+                let name = &self.pools[&pool].name;
+                if !declaration.pools.contains_key(name) {
+                    return Err(VoidReason::Invalid(format!("pool {name} still has workers")));
+                }
             }
         }
         Ok(())
@@ -71,7 +115,7 @@
     }
 
     pub(super) fn grant_key(&mut self, team: &str, hash: KeyHash) -> Result<Effect, VoidReason> {
-        let team = self.team(team).ok_or(VoidReason::Unknown("team"))?;
+        let team = self.declared_team(team)?;
         if self.hashes.contains_key(&hash) {
             return Err(VoidReason::KeyExists);
         }
--- a/crates/core/src/fleet/holds.rs
+++ b/crates/core/src/fleet/holds.rs
@@ -3,7 +3,9 @@
 //! The limit of a team is split into holds. Only the holder gives a part away, after it lowered its own use; a part
 //! of a member that is gone returns by a reclaim record.
 
-use super::{Effect, Fleet, MemberState, VoidReason};
+use std::collections::BTreeMap;
+
+use super::{Effect, Fleet, MemberState, TaskState, VoidReason};
 use crate::ids::{MemberId, TeamId};
 
 impl Fleet {
@@ -43,7 +45,9 @@
             return Err(VoidReason::Unknown("member"));
         }
         self.take_hold(author, team, slots)?;
-        *self.holds.entry((team, to)).or_default() += slots;
+        if slots > 0 {
+            *self.holds.entry((team, to)).or_default() += slots;
+        }
         Ok(Effect::Done)
     }
 
@@ -76,7 +80,39 @@
         Ok(Effect::Done)
     }
 
-    pub(super) fn drop_holds(&mut self, id: MemberId) {
+    fn drop_holds(&mut self, id: MemberId) {
         self.holds.retain(|(_, holder), _| *holder != id);
     }
+
+    /// Drops the holds of a member except one slot for each started task that it still owns. It owns some only if no
+    /// live member could take them over.
+    pub(super) fn drop_idle_holds(&mut self, id: MemberId) {
+        let tasks = &self.tasks;
+        self.holds.retain(|(team, holder), slots| {
+            if *holder != id {
+                return true;
+            }
+            let started = tasks.values().filter(|t| t.team == *team && t.owner == id);
+            let started = started.filter(|t| matches!(t.state, TaskState::Started { .. })).count();
+            *slots = (*slots).min(u32::try_from(started).unwrap_or(u32::MAX));
+            *slots > 0
+        });
+    }
+}
+
+/// Moves one slot between two holds, if the first one has any.
+pub(super) fn move_slot(
+    holds: &mut BTreeMap<(TeamId, MemberId), u32>,
+    team: TeamId,
+    from: MemberId,
+    to: MemberId,
+) {
+    let Some(slots) = holds.get_mut(&(team, from)) else {
+        return;
+    };
+    *slots -= 1;
+    if *slots == 0 {
+        holds.remove(&(team, from));
+    }
+    *holds.entry((team, to)).or_default() += 1;
 }
--- a/crates/core/src/fleet/members.rs
+++ b/crates/core/src/fleet/members.rs
@@ -1,17 +1,21 @@
 //! Membership: joins, clean exits and ends that the platform confirmed.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use sha2::{Digest, Sha256};
 
-use super::{Effect, Fleet, Member, MemberState, TaskState, VoidReason};
+use super::{Effect, Fleet, Member, MemberState, TaskState, VoidReason, holds::move_slot};
 use crate::ids::{MemberId, Offset, TaskId};
-use crate::record::Join;
+use crate::record::{Join, Origin};
 
 impl Fleet {
     /// Adds a member, or finds the one that the same process became before.
     ///
     /// Only the predecessors that the process saw at its start end here. Ending every live member of the same name
-    /// would let the delayed join of a dead process end its successor.
-    pub(super) fn join(&mut self, offset: Offset, join: &Join) -> Result<Effect, VoidReason> {
+    /// would let the delayed join of a dead process end its successor. A join is valid only in a batch of its own
+    /// process, so that a batch creates at most one member.
+    pub(super) fn join(&mut self, offset: Offset, origin: Origin, join: &Join) -> Result<Effect, VoidReason> {
+        if origin != Origin::Joining(join.nonce) {
+            return Err(VoidReason::State);
+        }
         if let Some((id, member)) = self.members.iter().find(|(_, m)| m.nonce == join.nonce) {
             let live = member.state == MemberState::Live;
             return if live { Ok(Effect::Joined(*id)) } else { Err(VoidReason::AuthorEnded) };
@@ -44,12 +48,12 @@
         }
     }
 
-    /// Ends a member that has no work in flight; its holds are free at once.
+    /// Ends a member that has no work in flight but started tasks; the rest of its holds is free at once.
     pub(super) fn leave(&mut self, author: MemberId) -> Result<Effect, VoidReason> {
         let member = self.members.get_mut(&author).ok_or(VoidReason::Unknown("member"))?;
         member.state = MemberState::Left;
-        self.drop_holds(author);
         self.reassign_tasks();
+        self.drop_idle_holds(author);
         Ok(Effect::Done)
     }
 
@@ -64,7 +68,16 @@
         Ok(Effect::Done)
     }
 
-    pub(super) fn progress(&mut self, author: MemberId, applied: Offset) -> Result<Effect, VoidReason> {
+    /// Notes a confirmation. Its author cannot have applied the record that carries it.
+    pub(super) fn progress(
+        &mut self,
+        offset: Offset,
+        author: MemberId,
+        applied: Offset,
+    ) -> Result<Effect, VoidReason> {
+        if applied >= offset {
+            return Err(VoidReason::State);
+        }
         let member = self.members.get_mut(&author).ok_or(VoidReason::Unknown("member"))?;
         member.progress = member.progress.max(applied);
         Ok(Effect::Done)
@@ -76,7 +89,8 @@
         live.filter(|(_, m)| m.progress < since).map(|(id, _)| *id).next()
     }
 
-    /// Gives every unended task of a member that is not live to a live one, by rendezvous hashing.
+    /// Gives every unended task of a member that is not live to a live one, by rendezvous hashing. A started task
+    /// takes one slot of the hold along: the new owner renews its lease, so it can outlast the wait before a reclaim.
     fn reassign_tasks(&mut self) {
         let live: Vec<MemberId> = self.live_members().collect();
         for (id, task) in &mut self.tasks {
@@ -84,16 +98,23 @@
             if ended || live.binary_search(&task.owner).is_ok() {
                 continue;
             }
-            if let Some(owner) = live.iter().max_by_key(|member| rendezvous_weight(*id, **member)) {
-                task.owner = *owner;
+            let Some(owner) = live.iter().max_by_key(|member| rendezvous_weight(*id, **member)) else {
+                return;
+            };
+            if matches!(task.state, TaskState::Started { .. }) {
+                move_slot(&mut self.holds, task.team, task.owner, *owner);
             }
+            task.owner = *owner;
         }
     }
 }
 
-/// Weight of a member for a task. `DefaultHasher::new` uses fixed keys, so all replicas agree.
-fn rendezvous_weight(task: TaskId, member: MemberId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (task, member).hash(&mut hasher);
-    hasher.finish()
+/// Weight of a member for a task. The hash is a published one, because replicas of two releases must agree and the
+/// standard library's hasher may change between toolchains.
+fn rendezvous_weight(task: TaskId, member: MemberId) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    hasher.update(task.member.0.to_le_bytes());
+    hasher.update(task.number.to_le_bytes());
+    hasher.update(member.0.to_le_bytes());
+    hasher.finalize().into()
 }
--- a/crates/core/src/fleet/snapshot.rs
+++ b/crates/core/src/fleet/snapshot.rs
@@ -11,25 +11,38 @@
 
 /// Size of one part, in bytes. Keeps each append far below usual request limits.
 const PART_BYTES: usize = 256 << 10;
+/// Version of the snapshot format; changes with the layout of any replicated table.
+const SNAPSHOT_VERSION: u8 = 1;
+/// Version byte and checksum, in bytes.
+const HEADER_BYTES: usize = 5;
 /// Incomplete snapshots kept at once; a new one replaces the oldest.
 const INCOMPLETE_SNAPSHOTS: usize = 8;
 
 /// Reason why bytes are not a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RestoreError {
-    /// The bytes do not parse.
+    /// The bytes do not parse, or their checksum differs.
     #[error("snapshot is malformed")]
     Malformed,
+    /// Format of another release.
+    #[error("snapshot format version {0} is not supported")]
+    Version(u8),
     /// The snapshot covers another offset than its parts say.
     #[error("snapshot covers another offset than its parts say")]
     Offset,
 }
 
 impl Fleet {
-    /// Serialises the state.
+    /// Serialises the state: a version byte, a CRC-32 of the body, and the body in `postcard` form. `postcard` does
+    /// not describe itself, so bytes of another layout could parse into a wrong state without the header.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let body = postcard::to_stdvec(self).unwrap_or_default();
+        let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
+        bytes.push(SNAPSHOT_VERSION);
+        bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+        bytes.extend_from_slice(&body);
+        bytes
     }
 
     /// Restores a state from [`Fleet::snapshot`].
@@ -38,7 +51,23 @@
     ///
     /// Fails if the bytes are not a snapshot of this format.
     pub fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
-        postcard::from_bytes(bytes).map_err(|_| RestoreError::Malformed)
+        let (header, body) = bytes.split_at_checked(HEADER_BYTES).ok_or(RestoreError::Malformed)?;
+        if header[0] != SNAPSHOT_VERSION {
+            return Err(RestoreError::Version(header[0]));
+        }
+        if crc32fast::hash(body).to_le_bytes() != header[1..] {
+            return Err(RestoreError::Malformed);
+        }
+        postcard::from_bytes(body).map_err(|_| RestoreError::Malformed)
+    }
+
+    /// Takes over a restored state if it covers more of the log than this one; returns true if it did.
+    pub fn advance(&mut self, restored: Self) -> bool {
+        let newer = restored.applied > self.applied;
+        if newer {
+            *self = restored;
+        }
+        newer
     }
 }
 
@@ -67,8 +96,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if a complete set of parts does not restore.
+    /// Fails if the part is outside its set, or if a complete set of parts does not restore.
     pub fn add(&mut self, part: &SnapshotPart) -> Result<Option<Fleet>, RestoreError> {
+        if part.index >= part.total {
+            return Err(RestoreError::Malformed);
+        }
         let set = self.parts.entry((part.covers, part.id)).or_default();
         set.insert(part.index, part.bytes.clone());
         if set.len() < part.total as usize {
--- a/crates/core/src/fleet/tables.rs
+++ b/crates/core/src/fleet/tables.rs
@@ -109,6 +109,8 @@
     pub slots: u32,
     /// True until the maintenance wave of its pool has reached it.
     pub due: bool,
+    /// Random number of the process that a reboot was allowed for; none once the maintenance has ended.
+    pub reboot: Option<u64>,
     /// Life cycle.
     pub state: WorkerState,
 }
@@ -154,6 +156,8 @@
     pub payload: Vec<u8>,
     /// Starts so far.
     pub attempts: u32,
+    /// Random number of the worker's process when the last start was recorded.
+    pub process: u64,
     /// Workers on which it failed.
     pub failed: Vec<WorkerId>,
     /// True once its cancellation is in the log.
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -11,8 +11,8 @@
         author: MemberId,
         accepted: &TaskAccepted,
     ) -> Result<Effect, VoidReason> {
-        let team = self.team(&accepted.team).ok_or(VoidReason::Unknown("team"))?;
-        let pool = self.pool(&accepted.pool).ok_or(VoidReason::Unknown("pool"))?;
+        let team = self.declared_team(&accepted.team)?;
+        let pool = self.declared_pool(&accepted.pool)?;
         let id = TaskId { member: author, number: accepted.number };
         if let Some(first) = self.find_token(team, accepted.token.as_ref()) {
             return Ok(Effect::Task(first));
@@ -32,6 +32,7 @@
             class: accepted.class,
             payload: accepted.payload.clone(),
             attempts: 0,
+            process: 0,
             failed: Vec::new(),
             cancelled: false,
             state: TaskState::Waiting,
@@ -53,18 +54,20 @@
         worker: WorkerId,
     ) -> Result<Effect, VoidReason> {
         let row = self.workers.get(&worker).ok_or(VoidReason::Unknown("worker"))?;
-        let takes_work = self.takes_work(row);
+        let (takes_work, pool, process) = (self.takes_work(row), row.pool, row.nonce);
         let task = self.owned_task(author, id)?;
         let startable = task.state == TaskState::Waiting && !task.cancelled && attempt == task.attempts + 1;
-        if !startable || !takes_work {
+        if !startable || !takes_work || task.pool != pool {
             return Err(VoidReason::State);
         }
         task.attempts = attempt;
+        task.process = process;
         task.state = TaskState::Started { attempt, worker };
         Ok(Effect::Task(id))
     }
 
-    /// Lets a task wait again after its attempt is proven to have stopped. A cancelled task ends instead.
+    /// Lets a task wait again after its attempt is proven to have stopped. A cancelled task ends instead, and so does
+    /// one that can never start again.
     pub(super) fn requeue_task(
         &mut self,
         offset: Offset,
@@ -73,11 +76,15 @@
         attempt: u32,
         proof: StopProof,
     ) -> Result<Effect, VoidReason> {
-        let task = self.owned_task(author, id)?;
+        let task = self.tasks.get_mut(&id).ok_or(VoidReason::Unknown("task"))?;
+        if task.owner != author {
+            return Err(VoidReason::State);
+        }
         let TaskState::Started { attempt: started, worker } = task.state else {
             return Err(VoidReason::State);
         };
-        let proven = proof != StopProof::WorkerLost || task.idempotent;
+        let restarted = self.workers.get(&worker).is_none_or(|w| w.nonce != task.process);
+        let proven = task.idempotent || proves_not_run(proof, restarted);
         if started != attempt || !proven {
             return Err(VoidReason::State);
         }
@@ -87,6 +94,8 @@
         task.state = TaskState::Waiting;
         if task.cancelled {
             self.set_ended(offset, id, TaskOutcome::Cancelled);
+        } else if let Some(reason) = self.undeclared(id) {
+            self.set_ended(offset, id, TaskOutcome::Failed(reason));
         }
         Ok(Effect::Task(id))
     }
@@ -128,7 +137,7 @@
         if task.owner == author { Ok(task) } else { Err(VoidReason::State) }
     }
 
-    fn set_ended(&mut self, offset: Offset, id: TaskId, outcome: TaskOutcome) {
+    pub(super) fn set_ended(&mut self, offset: Offset, id: TaskId, outcome: TaskOutcome) {
         if let Some(task) = self.tasks.get_mut(&id) {
             task.state = TaskState::Ended { outcome, at: offset };
             task.payload = Vec::new();
@@ -150,3 +159,13 @@
         }
     }
 }
+
+/// True if the proof shows that the attempt never ran, as a second start of a non-idempotent task needs. A worker that
+/// has restarted since the start record has forgotten what it ran, so its word is no proof.
+fn proves_not_run(proof: StopProof, restarted: bool) -> bool {
+    match proof {
+        StopProof::Refused => true,
+        StopProof::NeverStarted => !restarted,
+        StopProof::Stopped | StopProof::Failed | StopProof::WorkerLost => false,
+    }
+}
--- a/crates/core/src/fleet/workers.rs
+++ b/crates/core/src/fleet/workers.rs
@@ -1,7 +1,7 @@
 //! Upstream workers: the one pool of each, drains, maintenance, moves and availability budgets.
 
-use super::{Effect, Fleet, VoidReason, Worker, WorkerState, ZoneState, config::next_key};
-use crate::ids::{Offset, PoolId, WorkerId};
+use super::{Effect, Fleet, TaskState, VoidReason, Worker, WorkerState, ZoneState, config::next_key};
+use crate::ids::{Offset, PoolId, WorkerId, ZoneId};
 use crate::record::WorkerSeen;
 
 impl Fleet {
@@ -39,24 +39,43 @@
         Ok(())
     }
 
-    /// Adds a worker of the platform's list or updates its address. The pool of a known worker never changes here.
+    /// Adds a worker of the platform's list or updates its address. The pool of a known worker never changes here; its
+    /// zone changes only with a new process, because the platform may start it elsewhere.
     pub(super) fn see_worker(&mut self, seen: &WorkerSeen) -> Result<Effect, VoidReason> {
-        let pool = self.pool(&seen.pool).ok_or(VoidReason::Unknown("pool"))?;
-        let zone = self.zone_or_new(&seen.zone);
         let Some(id) = self.worker(&seen.name) else {
+            let pool = self.declared_pool(&seen.pool)?;
+            let zone = self.zone_or_new(&seen.zone);
             return Ok(self.add_worker(seen, pool, zone));
         };
+        let pool = self.returning_pool(id, seen)?;
+        let zone = self.zone_or_new(&seen.zone);
         let Some(worker) = self.workers.get_mut(&id) else {
             return Err(VoidReason::Unknown("worker"));
         };
+        worker.pool = pool;
         worker.state = next_state(worker, seen);
+        if worker.state == WorkerState::Serving {
+            worker.reboot = None;
+        }
+        if worker.nonce != seen.nonce {
+            worker.zone = zone;
+            worker.rack.clone_from(&seen.rack);
+        }
         worker.nonce = seen.nonce;
         worker.address.clone_from(&seen.address);
         worker.slots = seen.slots;
         Ok(Effect::Worker(id))
     }
 
-    fn add_worker(&mut self, seen: &WorkerSeen, pool: PoolId, zone: crate::ids::ZoneId) -> Effect {
+    /// Pool of a known worker. A lost worker whose pool was removed meanwhile returns like a new one.
+    fn returning_pool(&self, id: WorkerId, seen: &WorkerSeen) -> Result<PoolId, VoidReason> {
+        let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
+        let name = self.pools.get(&worker.pool).map_or("", |p| &p.name);
+        let removed = !self.declaration.pools.contains_key(name);
+        if removed { self.declared_pool(&seen.pool) } else { Ok(worker.pool) }
+    }
+
+    fn add_worker(&mut self, seen: &WorkerSeen, pool: PoolId, zone: ZoneId) -> Effect {
         let id = WorkerId(next_key(self.workers.len()));
         let state = if seen.leaving { WorkerState::Leaving } else { WorkerState::Serving };
         let worker = Worker {
@@ -68,6 +87,7 @@
             pool,
             slots: seen.slots,
             due: false,
+            reboot: None,
             state,
         };
         self.workers.insert(id, worker);
@@ -80,7 +100,7 @@
 
     /// Marks the workers of a pool as due; the members then drain them one after another under the budget.
     pub(super) fn start_wave(&mut self, pool: &str) -> Result<Effect, VoidReason> {
-        let pool = self.pool(pool).ok_or(VoidReason::Unknown("pool"))?;
+        let pool = self.declared_pool(pool)?;
         for worker in self.workers.values_mut().filter(|w| w.pool == pool) {
             worker.due = worker.state != WorkerState::Lost;
         }
@@ -111,7 +131,7 @@
         id: WorkerId,
         to: &str,
     ) -> Result<Effect, VoidReason> {
-        let to = self.pool(to).ok_or(VoidReason::Unknown("pool"))?;
+        let to = self.declared_pool(to)?;
         let worker = self.workers.get(&id).ok_or(VoidReason::Unknown("worker"))?;
         if worker.pool == to {
             return Err(VoidReason::State);
@@ -143,8 +163,15 @@
         let WorkerState::Draining(since) = worker.state else {
             return Err(VoidReason::State);
         };
-        self.check_quiet(since)?;
-        self.set_state(id, |_| Some(WorkerState::Maintenance))
+        self.check_quiet(id, since)?;
+        self.stop_for_reboot(id)
+    }
+
+    fn stop_for_reboot(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
+        let worker = self.workers.get_mut(&id).ok_or(VoidReason::Unknown("worker"))?;
+        worker.state = WorkerState::Maintenance;
+        worker.reboot = Some(worker.nonce);
+        Ok(Effect::Worker(id))
     }
 
     pub(super) fn end_maintenance(&mut self, id: WorkerId) -> Result<Effect, VoidReason> {
@@ -152,6 +179,7 @@
             self.set_state(id, |state| (state == WorkerState::Maintenance).then_some(WorkerState::Serving))?;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.due = false;
+            worker.reboot = None;
         }
         Ok(ended)
     }
@@ -163,15 +191,21 @@
         let WorkerState::Moving { to, since } = worker.state else {
             return Err(VoidReason::State);
         };
-        self.check_quiet(since)?;
+        self.check_quiet(id, since)?;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.pool = to;
         }
-        self.set_state(id, |_| Some(WorkerState::Maintenance))
+        self.stop_for_reboot(id)
     }
 
-    fn check_quiet(&self, since: Offset) -> Result<(), VoidReason> {
-        self.unconfirmed(since).map_or(Ok(()), |member| Err(VoidReason::NotQuiet(member)))
+    /// Checks the quiescence barrier. A task that was taken over from an ended member can still run on the worker
+    /// after its new owner has confirmed, so started tasks count as well.
+    fn check_quiet(&self, id: WorkerId, since: Offset) -> Result<(), VoidReason> {
+        let on_worker =
+            |state: &TaskState| matches!(state, TaskState::Started { worker, .. } if *worker == id);
+        let busy = || self.tasks.values().find(|t| on_worker(&t.state)).map(|t| t.owner);
+        let member = self.unconfirmed(since).or_else(busy);
+        member.map_or(Ok(()), |member| Err(VoidReason::NotQuiet(member)))
     }
 
     fn set_state(
@@ -191,6 +225,8 @@
     match worker.state {
         WorkerState::Maintenance => WorkerState::Maintenance,
         _ if seen.leaving => WorkerState::Leaving,
+        // The list lags: it can still show the process that is about to be rebooted.
+        WorkerState::Lost if worker.reboot == Some(seen.nonce) => WorkerState::Lost,
         WorkerState::Lost => WorkerState::Serving,
         WorkerState::Leaving if restarted => WorkerState::Serving,
         state => state,
--- /dev/null
+++ b/crates/core/tests/fleet/random.rs
@@ -0,0 +1,418 @@
+//! Random batches: the invariants hold after every offset, and replicas are equal.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use rattanfall_core::fleet::{Applied, Effect, Fleet, MemberState, TaskState, WorkerState, Zone, ZoneState};
+use rattanfall_core::ids::{KeyId, MemberId, Offset, PoolId, TaskId, WorkerId};
+use rattanfall_core::record::{Batch, Origin, Record, StopProof, TaskAccepted, TaskOutcome, WorkerSeen};
+
+use crate::support::{BASE, declaration, join_batch, once, seen};
+
+const DECLARATIONS: [&str; 3] = [
+    BASE,
+    "[pools.sales]\nmin_serving = 2\n[teams.ash]\nshare = 1\nlimit = 2\n[defaults]\nended_tasks = 3",
+    "[pools.sales]\nmin_serving = 0\n[pools.sweeps]\nmin_serving = 1\n[teams.ash]\nshare = 1\nlimit = 9
+    [teams.birch]\nshare = 1\nlimit = 1\n[defaults]\ndrains = 2\nended_tasks = 3",
+];
+const MEMBERS: u64 = 8;
+const WORKERS: u32 = 4;
+
+fn member() -> impl Strategy<Value = MemberId> {
+    // The members of the setup act most often, because later ids exist only if a join is at that offset.
+    prop_oneof![4 => (0..2_u64).prop_map(MemberId), 1 => (2..MEMBERS).prop_map(MemberId)]
+}
+
+fn worker() -> impl Strategy<Value = WorkerId> {
+    (1..=WORKERS).prop_map(WorkerId)
+}
+
+fn team() -> impl Strategy<Value = String> {
+    select(&["ash", "birch"][..]).prop_map(str::to_owned)
+}
+
+fn pool() -> impl Strategy<Value = String> {
+    select(&["sales", "sweeps"][..]).prop_map(str::to_owned)
+}
+
+fn zone() -> impl Strategy<Value = String> {
+    select(&["a", "b"][..]).prop_map(str::to_owned)
+}
+
+fn task() -> impl Strategy<Value = TaskId> {
+    (member(), 1..3_u32).prop_map(|(member, number)| TaskId { member, number })
+}
+
+fn attempt() -> impl Strategy<Value = u32> {
+    prop_oneof![4 => Just(1), 1 => 0..3_u32]
+}
+
+fn accepted() -> impl Strategy<Value = Record> {
+    let token = select(&[None, None, Some("x"), Some("y")][..]);
+    (1..3_u32, team(), pool(), token, any::<bool>()).prop_map(|(number, team, pool, token, idempotent)| {
+        let token = token.map(str::to_owned);
+        Record::TaskAccepted(TaskAccepted { token, idempotent, ..once(number, &team, &pool) })
+    })
+}
+
+fn proof() -> impl Strategy<Value = StopProof> {
+    let proofs = [
+        StopProof::Refused,
+        StopProof::NeverStarted,
+        StopProof::Stopped,
+        StopProof::Failed,
+        StopProof::WorkerLost,
+    ];
+    (0..proofs.len()).prop_map(move |index| proofs[index])
+}
+
+fn task_record() -> impl Strategy<Value = Record> {
+    let outcome = TaskOutcome::Done(vec![7]);
+    prop_oneof![
+        4 => accepted(),
+        4 => (task(), attempt(), worker())
+            .prop_map(|(task, attempt, worker)| Record::TaskStarted { task, attempt, worker }),
+        2 => (task(), attempt(), proof())
+            .prop_map(|(task, attempt, proof)| Record::TaskRequeued { task, attempt, proof }),
+        2 => (task(), attempt()).prop_map(move |(task, attempt)| {
+            Record::TaskEnded { task, attempt, outcome: outcome.clone() }
+        }),
+        1 => task().prop_map(|task| Record::TaskCancelled { task }),
+    ]
+}
+
+fn hold_record() -> impl Strategy<Value = Record> {
+    prop_oneof![
+        3 => (team(), 0..5_u32).prop_map(|(team, slots)| Record::HoldClaim { team, slots }),
+        1 => (team(), member(), 0..3_u32)
+            .prop_map(|(team, to, slots)| Record::HoldGive { team, to, slots }),
+        1 => (team(), 0..3_u32).prop_map(|(team, slots)| Record::HoldRelease { team, slots }),
+        1 => member().prop_map(|member| Record::HoldReclaim { member }),
+    ]
+}
+
+fn worker_record() -> impl Strategy<Value = Record> {
+    let shown = (1..=WORKERS, zone(), pool(), 1..3_u64, prop::bool::weighted(0.1));
+    prop_oneof![
+        3 => shown.prop_map(|(number, zone, pool, nonce, leaving)| {
+            let seen = seen(&format!("w{number}"), &zone, &pool);
+            Record::WorkerSeen(WorkerSeen { nonce, leaving, ..seen })
+        }),
+        1 => worker().prop_map(|worker| Record::WorkerLost { worker }),
+        2 => worker().prop_map(|worker| Record::DrainStarted { worker }),
+        1 => worker().prop_map(|worker| Record::DrainCancelled { worker }),
+        2 => worker().prop_map(|worker| Record::MaintenanceStarted { worker }),
+        2 => worker().prop_map(|worker| Record::MaintenanceEnded { worker }),
+        1 => (worker(), pool()).prop_map(|(worker, to)| Record::MoveLeft { worker, to }),
+        2 => worker().prop_map(|worker| Record::MoveJoined { worker }),
+        1 => pool().prop_map(|pool| Record::WaveStarted { pool }),
+    ]
+}
+
+fn operator_record() -> impl Strategy<Value = Record> {
+    prop_oneof![
+        2 => (0..4_u64, select(&DECLARATIONS[..]))
+            .prop_map(|(base, text)| Record::ConfigChanged { base, declaration: declaration(text) }),
+        1 => (team(), 0..4_u8).prop_map(|(team, byte)| Record::KeyGranted { team, hash: [byte; 32] }),
+        1 => (1..5_u32).prop_map(|key| Record::KeyWithdrawn { key: KeyId(key) }),
+        1 => (zone(), 0..3_u64).prop_map(|(zone, base)| Record::ZoneRemoved { zone, base }),
+        1 => (zone(), 0..3_u64).prop_map(|(zone, base)| Record::ZoneRestored { zone, base }),
+    ]
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    // Most members confirm quickly, so that random runs pass the barrier.
+    let progress = (0..80_u64).prop_map(|applied| Record::Progress { applied: Offset(applied) });
+    prop_oneof![
+        24 => task_record(),
+        12 => hold_record(),
+        24 => worker_record(),
+        6 => operator_record(),
+        24 => progress,
+        1 => member().prop_map(|member| Record::Gone { member }),
+        1 => Just(Record::Leave),
+    ]
+}
+
+fn batch() -> impl Strategy<Value = Batch> {
+    let records = prop::collection::vec(record(), 1..5);
+    let member_batch = (member(), prop::bool::weighted(0.1), records).prop_map(|(id, repeat, records)| {
+        Batch { origin: Origin::Member(id), sequence: u64::from(!repeat), records }
+    });
+    let ends = prop::collection::vec(member(), 0..2);
+    let join = (zone(), 50..60_u64, ends).prop_map(|(zone, nonce, ends)| {
+        join_batch(if nonce % 2 == 0 { "entry-1" } else { "entry-2" }, &zone, nonce, &ends)
+    });
+    prop_oneof![12 => member_batch, 1 => join]
+}
+
+/// One entry of a random log: an arbitrary batch, or a record that is likely to take effect in the current state.
+#[derive(Clone, Debug)]
+enum Step {
+    Any(Batch),
+    Enabled(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![batch().prop_map(Step::Any), any::<usize>().prop_map(Step::Enabled)];
+    prop::collection::vec(step, 1..80)
+}
+
+/// Two joins, the base declaration and four workers.
+fn setup() -> Vec<Batch> {
+    let change = Record::ConfigChanged { base: 0, declaration: declaration(BASE) };
+    let workers = (1..=WORKERS).map(|number| {
+        let pool = if number == WORKERS { "sweeps" } else { "sales" };
+        Record::WorkerSeen(seen(&format!("w{number}"), if number % 2 == 0 { "b" } else { "a" }, pool))
+    });
+    let records = std::iter::once(change).chain(workers).collect();
+    let batch = Batch { origin: Origin::Member(MemberId(0)), sequence: 1, records };
+    vec![join_batch("entry-1", "a", 48, &[]), join_batch("entry-2", "b", 49, &[]), batch]
+}
+
+/// Records that the rules allow now, as far as a look at single rows tells, with their authors.
+fn enabled(fleet: &Fleet, offset: u64) -> Vec<(MemberId, Record)> {
+    let live: Vec<MemberId> = fleet.live_members().collect();
+    let mut found = Vec::new();
+    for (task, row) in &fleet.tasks {
+        found.extend(task_steps(fleet, *task, &row.state).into_iter().map(|record| (row.owner, record)));
+    }
+    for author in live {
+        let applied = Offset(offset.saturating_sub(1));
+        found.push((author, Record::Progress { applied }));
+        let shared = fleet.workers.iter().filter_map(|(id, w)| worker_step(*id, w.state));
+        found.extend(shared.map(|record| (author, record)));
+        let gone = fleet.holds.keys().filter(|(_, holder)| fleet.members[holder].state != MemberState::Live);
+        found.extend(gone.map(|(_, member)| (author, Record::HoldReclaim { member: *member })));
+        let zones = fleet.zones.values().map(zone_step);
+        found.extend(zones.map(|record| (author, record)));
+    }
+    found
+}
+
+fn task_steps(fleet: &Fleet, task: TaskId, state: &TaskState) -> Vec<Record> {
+    let row = &fleet.tasks[&task];
+    match *state {
+        TaskState::Waiting => {
+            let free = fleet.workers.iter().filter(|(_, w)| w.pool == row.pool && fleet.takes_work(w));
+            let attempt = row.attempts + 1;
+            free.map(|(worker, _)| Record::TaskStarted { task, attempt, worker: *worker }).collect()
+        }
+        TaskState::Started { attempt, .. } => {
+            let done = Record::TaskEnded { task, attempt, outcome: TaskOutcome::Done(vec![7]) };
+            let requeue = |proof| Record::TaskRequeued { task, attempt, proof };
+            let proofs = [StopProof::Refused, StopProof::NeverStarted, StopProof::Failed];
+            proofs.map(requeue).into_iter().chain([done]).collect()
+        }
+        TaskState::Ended { .. } => Vec::new(),
+    }
+}
+
+fn worker_step(worker: WorkerId, state: WorkerState) -> Option<Record> {
+    match state {
+        WorkerState::Serving if worker.0.is_multiple_of(2) => {
+            let to = if worker.0 == WORKERS { "sales" } else { "sweeps" };
+            Some(Record::MoveLeft { worker, to: to.into() })
+        }
+        WorkerState::Serving => Some(Record::DrainStarted { worker }),
+        WorkerState::Draining(_) => Some(Record::MaintenanceStarted { worker }),
+        WorkerState::Moving { .. } => Some(Record::MoveJoined { worker }),
+        WorkerState::Maintenance => Some(Record::MaintenanceEnded { worker }),
+        WorkerState::Leaving | WorkerState::Lost => None,
+    }
+}
+
+fn zone_step(zone: &Zone) -> Record {
+    let (name, base) = (zone.name.clone(), zone.version);
+    match zone.state {
+        ZoneState::InService => Record::ZoneRemoved { zone: name, base },
+        ZoneState::Removed => Record::ZoneRestored { zone: name, base },
+    }
+}
+
+/// Batch of a step. The sequence of an arbitrary batch counts from the last one; a difference of 0 is a duplicate.
+fn resolve(fleet: &Fleet, offset: u64, step: &Step) -> Option<Batch> {
+    let last = |origin| match origin {
+        Origin::Member(id) => fleet.members.get(&id).map_or(0, |m| m.sequence),
+        Origin::Joining(_) => 0,
+    };
+    match step {
+        Step::Any(batch) => Some(Batch { sequence: last(batch.origin) + batch.sequence, ..batch.clone() }),
+        Step::Enabled(index) => {
+            let mut found = enabled(fleet, offset);
+            let (author, record) = (!found.is_empty()).then(|| found.swap_remove(index % found.len()))?;
+            let origin = Origin::Member(author);
+            Some(Batch { origin, sequence: last(origin) + 1, records: vec![record] })
+        }
+    }
+}
+
+/// Applies the setup and the steps; calls `check` with the state before, the batch, the result and the state after.
+fn run(steps: &[Step], mut check: impl FnMut(&Fleet, &Batch, &Applied, &Fleet)) -> (Vec<Batch>, Fleet) {
+    let (mut fleet, mut entries) = (Fleet::default(), Vec::new());
+    let setup: Vec<Step> = setup().into_iter().map(Step::Any).collect();
+    for step in setup.iter().chain(steps) {
+        let offset = entries.len() as u64;
+        let Some(batch) = resolve(&fleet, offset, step) else {
+            continue;
+        };
+        let before = fleet.clone();
+        let applied = fleet.apply(Offset(offset), &batch);
+        check(&before, &batch, &applied, &fleet);
+        entries.push(batch);
+    }
+    (entries, fleet)
+}
+
+fn check_members(fleet: &Fleet) {
+    let live: Vec<MemberId> = fleet.live_members().collect();
+    for task in fleet.tasks.values().filter(|t| !matches!(t.state, TaskState::Ended { .. })) {
+        assert!(live.is_empty() || live.contains(&task.owner), "a live member owns each unended task");
+    }
+    for ((_, holder), slots) in &fleet.holds {
+        assert!(*slots > 0, "no hold is empty");
+        let left = fleet.members[holder].state == MemberState::Left;
+        assert!(!left || live.is_empty(), "a member that left keeps no hold");
+    }
+}
+
+fn check_workers(fleet: &Fleet) {
+    for (id, worker) in &fleet.workers {
+        let pool = &fleet.pools[&worker.pool].name;
+        let declared = fleet.declaration.pools.contains_key(pool);
+        assert!(declared || worker.state == WorkerState::Lost, "a worker is in a declared pool");
+        let on_worker = |t: &TaskState| matches!(t, TaskState::Started { worker, .. } if worker == id);
+        let busy = fleet.tasks.values().any(|t| on_worker(&t.state));
+        assert!(!busy || worker.state != WorkerState::Maintenance, "no task is on a worker that reboots");
+    }
+}
+
+fn check_step(before: &Fleet, after: &Fleet) {
+    for (id, team) in &after.teams {
+        let held = after.held(*id);
+        assert!(held <= team.limit || held <= before.held(*id), "holds grow within the limit only");
+    }
+    assert!(after.applied > before.applied && after.version >= before.version);
+    for (id, zone) in &before.zones {
+        assert!(after.zones[id].version >= zone.version, "a zone's version never goes back");
+    }
+    for (id, key) in &before.keys {
+        assert!(after.keys[id].withdrawn >= key.withdrawn, "a withdrawn key stays withdrawn");
+    }
+    for (id, task) in &before.tasks {
+        check_task(*id, &task.state, after);
+    }
+    for (id, member) in &before.members {
+        let now = after.members[id].state;
+        assert!(member.state == MemberState::Live || now == member.state, "an ended member stays ended");
+    }
+}
+
+fn check_task(id: TaskId, before: &TaskState, after: &Fleet) {
+    let now = after.tasks.get(&id).map(|t| &t.state);
+    if matches!(before, TaskState::Ended { .. }) {
+        assert!(now.is_none_or(|state| state == before), "an ended task keeps its outcome");
+    } else {
+        let kept = after.declaration.defaults.ended_tasks as usize;
+        assert!(now.is_some() || after.ended.len() == kept, "an unended task is never dropped");
+    }
+}
+
+/// Applies one record at a time, because a budget is checked against the state just before the record.
+fn check_budgets(fleet: &Fleet, batch: &Batch) {
+    let first = fleet.applied.map_or(0, |last| last.0 + 1);
+    let mut fleet = fleet.clone();
+    for (step, record) in (0_u64..).zip(&batch.records) {
+        let before: BTreeMap<PoolId, u32> = fleet.pools.keys().map(|p| (*p, fleet.serving(*p))).collect();
+        let single = Batch { sequence: batch.sequence + step, records: vec![record.clone()], ..*batch };
+        fleet.apply(Offset(first + step), &single);
+        let stop = matches!(
+            record,
+            Record::DrainStarted { .. } | Record::MoveLeft { .. } | Record::ZoneRemoved { .. }
+        );
+        for (id, pool) in fleet.pools.iter().filter(|_| stop) {
+            let serving = fleet.serving(*id);
+            let kept = serving >= pool.min_serving || before.get(id) == Some(&serving);
+            assert!(kept, "a planned stop keeps the budget of pool {}", pool.name);
+        }
+    }
+}
+
+fn check_all(before: &Fleet, after: &Fleet) {
+    check_step(before, after);
+    check_members(after);
+    check_workers(after);
+}
+
+/// Last offset from which a snapshot was taken, and every second entry arrives twice.
+fn replay_from_snapshot(entries: &[Batch], cut: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    let numbered = || (0_u64..).map(Offset).zip(entries);
+    numbered().take(cut).for_each(|(offset, batch)| {
+        fleet.apply(offset, batch);
+    });
+    let mut restored = Fleet::restore(&fleet.snapshot()).expect("the snapshot is whole");
+    for (offset, batch) in numbered() {
+        restored.apply(offset, batch);
+        if offset.0 % 2 == 0 {
+            assert!(restored.apply(offset, batch).duplicate);
+        }
+    }
+    restored
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against any sequence of batches that breaks an invariant or lets two replicas differ.
+    #[test]
+    fn invariants_hold_after_every_offset(steps in steps(), cut in 0..60_usize) {
+        let (entries, fleet) = run(&steps, |before, batch, applied, after| {
+            assert_eq!(applied.duplicate, applied.results.is_empty());
+            check_budgets(before, batch);
+            check_all(before, after);
+        });
+        prop_assert_eq!(replay_from_snapshot(&entries, cut), fleet);
+    }
+}
+
+/// Guards against random runs that are all void and so check nothing.
+#[rstest::rstest]
+fn random_records_take_effect() {
+    let mut runner = TestRunner::deterministic();
+    let mut taken: BTreeMap<&str, u32> = BTreeMap::new();
+    for _ in 0..100 {
+        let steps = steps().new_tree(&mut runner).expect("a case").current();
+        run(&steps, |_, batch, applied, _| count_effects(batch, applied, &mut taken));
+    }
+    println!("records with an effect in 100 cases: {taken:?}");
+    for kind in ["start", "requeue", "end", "move joined", "maintenance", "reclaim", "config", "zone", "give"]
+    {
+        assert!(
+            taken.get(kind).is_some_and(|count| *count >= 5),
+            "too few effects of kind {kind}: {taken:?}"
+        );
+    }
+}
+
+fn count_effects(batch: &Batch, applied: &Applied, taken: &mut BTreeMap<&'static str, u32>) {
+    for (record, result) in batch.records.iter().zip(&applied.results) {
+        let kind = match record {
+            Record::TaskStarted { .. } => "start",
+            Record::TaskRequeued { .. } => "requeue",
+            Record::TaskEnded { .. } => "end",
+            Record::MoveJoined { .. } => "move joined",
+            Record::MaintenanceStarted { .. } => "maintenance",
+            Record::HoldReclaim { .. } => "reclaim",
+            Record::ConfigChanged { .. } => "config",
+            Record::ZoneRemoved { .. } | Record::ZoneRestored { .. } => "zone",
+            Record::HoldGive { .. } => "give",
+            _ => "other",
+        };
+        let counted = result.as_ref().is_ok_and(|effect| !matches!(effect, Effect::Granted(_, 0)));
+        *taken.entry(kind).or_default() += u32::from(counted);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/record.rs
@@ -0,0 +1,102 @@
+//! Binary form of batches.
+
+#[path = "fleet/support.rs"]
+mod support;
+
+use proptest::prelude::*;
+use rattanfall_core::ids::MemberId;
+use rattanfall_core::record::{Batch, DecodeError, Origin, Record, decode, encode};
+use rstest::rstest;
+
+use support::{BASE, Log, declaration, join_batch, once, seen};
+
+fn batch() -> Batch {
+    let records = vec![
+        Record::ConfigChanged { base: 3, declaration: declaration(BASE) },
+        Record::TaskAccepted(once(1, "ash", "sales")),
+        Record::WorkerSeen(seen("w1", "a", "sales")),
+        Record::Leave,
+    ];
+    Batch { origin: Origin::Member(MemberId(5)), sequence: 9, records }
+}
+
+/// Guards against a batch that reads back as another one.
+#[rstest]
+#[case(batch())]
+#[case(join_batch("entry-1", "a", u64::MAX, &[MemberId(0), MemberId(u64::MAX)]))]
+#[case(Batch { origin: Origin::Member(MemberId(0)), sequence: 1, records: vec![] })]
+fn batches_read_back(#[case] batch: Batch) {
+    assert_eq!(decode(&encode(&batch)), Ok(batch));
+}
+
+/// Guards against a damaged or truncated entry that takes effect.
+#[rstest]
+fn damaged_entries_are_refused() {
+    let bytes = encode(&batch());
+    for position in 0..bytes.len() {
+        let mut damaged = bytes.clone();
+        damaged[position] ^= 0x10;
+        assert!(decode(&damaged).is_err(), "the change of byte {position} goes unnoticed");
+        assert!(decode(&bytes[..position]).is_err(), "{position} bytes are taken for a batch");
+    }
+}
+
+/// Guards against reasons that hide whether another release wrote the entry.
+#[rstest]
+fn refusals_name_their_reason() {
+    let mut bytes = encode(&batch());
+    assert_eq!(decode(&bytes[..3]), Err(DecodeError::Short(3)));
+    bytes[7] ^= 1;
+    assert_eq!(decode(&bytes), Err(DecodeError::Checksum));
+    bytes[0] = 2;
+    assert_eq!(decode(&bytes), Err(DecodeError::Version(2)));
+    let body = [0xff; 3];
+    let mut malformed = vec![1];
+    malformed.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    malformed.extend_from_slice(&body);
+    assert_eq!(decode(&malformed), Err(DecodeError::Body));
+}
+
+/// Guards against a change of the binary form without a new format version: logs outlive releases.
+#[rstest]
+fn binary_form_is_fixed() {
+    let batch = Batch {
+        origin: Origin::Member(MemberId(300)),
+        sequence: 2,
+        records: vec![Record::Gone { member: MemberId(1) }, Record::Leave],
+    };
+    let bytes = encode(&batch);
+    assert_eq!(bytes[5..], [1, 0xac, 2, 2, 2, 2, 1, 1]);
+}
+
+/// Guards against replicas that differ because one read its entries from the log and one from memory.
+#[rstest]
+fn decoded_entries_apply_alike() {
+    let (mut log, first, _) = Log::with_members();
+    log.see_worker(first, "w1", "a", "sales");
+    log.accept(first, once(1, "ash", "sales"));
+    let mut fleet = rattanfall_core::fleet::Fleet::default();
+    for (offset, batch) in &log.entries {
+        fleet.apply(*offset, &decode(&encode(batch)).expect("the entry is whole"));
+    }
+    assert_eq!(fleet, log.fleet);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against bytes that crash the reader.
+    #[test]
+    fn arbitrary_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(decode(&bytes).is_err());
+    }
+
+    /// Guards against a body with a valid checksum that crashes the parser.
+    #[test]
+    fn arbitrary_bodies_do_not_crash(body in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut bytes = vec![1];
+        bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+        bytes.extend_from_slice(&body);
+        let _ = decode(&bytes);
+    }
+}
