Add stand-ins for the platform and the workers

Nothing answered the published protocol of the platform and the workers, so no part could be tried end to end.

- Platform: log with offsets, retention and a rate limit; list of instances with a lag; reboots; run-time faults.
- Lease ends are computed from the clock at each access, so their tests move the clock and do not sleep.
- The server runs one xitca-web service function per listener: a service error is the library's way to close a connection without an answer, which App's error handling would hide.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,5 @@
 //! Starts `rattanfall-standin`.
 
-fn main() {}
+fn main() -> miette::Result<()> {
+    rattanfall_standin::run()
+}
--- /dev/null
+++ b/crates/standin/src/worker/service.rs
@@ -0,0 +1,102 @@
+//! HTTP interface of a worker.
+
+use std::time::Instant;
+
+use http::{Method, StatusCode};
+use rattanfall_core::engine::event::WorkerRefusal;
+use rattanfall_wire::worker::{AskLease, StartTask, WorkerStatus};
+
+use super::request::refused;
+use super::{NAME_HEADER, NONCE_HEADER, Worker};
+use crate::http::{Answer, Request, Service};
+
+impl Service for Worker {
+    async fn answer(&self, request: Request) -> Answer {
+        let answer = match request.segments().as_slice() {
+            ["control", path @ ..] => self.control(&request, path).unwrap_or_else(|error| error),
+            _ if self.state.lock().is_silent(request.peer) => return Answer::Silent,
+            ["worker", path @ ..] => self.answer_tasks(&request, path).unwrap_or_else(|error| error),
+            _ => self.run_request(&request).await,
+        };
+        let nonce = self.state.lock().nonce;
+        answer.with(NAME_HEADER, &self.spec.name).with(NONCE_HEADER, &nonce.to_string())
+    }
+}
+
+impl Worker {
+    fn answer_tasks(&self, request: &Request, path: &[&str]) -> Result<Answer, Answer> {
+        self.state.lock().settle(Instant::now());
+        match (&request.method, path) {
+            (&Method::GET, ["status"]) => Ok(self.status()),
+            (&Method::POST, ["leases"]) => self.grant(request),
+            (&Method::POST, ["leases", lease, "renew"]) => self.renew(request, lease),
+            (&Method::POST, ["tasks"]) => self.start(request),
+            (&Method::GET, ["tasks", task]) => self.query(task),
+            (&Method::DELETE, ["tasks", task]) => self.stop(task),
+            _ => Ok(Answer::error(StatusCode::NOT_FOUND, "no such endpoint")),
+        }
+    }
+
+    fn status(&self) -> Answer {
+        let state = self.state.lock();
+        if state.rebooting.is_some() {
+            return refused(WorkerRefusal::Leaving);
+        }
+        Answer::ok(&WorkerStatus {
+            name: self.spec.name.clone(),
+            nonce: state.nonce,
+            pool: state.pool.clone(),
+            slots: self.spec.slots,
+            running: state.running(),
+            leaving: state.faults.leaving,
+        })
+    }
+
+    fn grant(&self, request: &Request) -> Result<Answer, Answer> {
+        let ask: AskLease = request.json()?;
+        let mut state = self.state.lock();
+        if let Some(refusal) = state.refusal(Some(&ask.pool)) {
+            return Err(refused(refusal));
+        }
+        let busy = state.requests;
+        let lease = state.tasks.grant(Instant::now(), &ask, self.spec.slots, busy);
+        lease.map(|lease| Answer::ok(&lease)).map_err(refused)
+    }
+
+    fn renew(&self, request: &Request, lease: &str) -> Result<Answer, Answer> {
+        let malformed = |_| Answer::error(StatusCode::BAD_REQUEST, "the lease is not a number");
+        let lease: u64 = lease.parse().map_err(malformed)?;
+        let ask: Option<AskLease> = if lease == 0 { Some(request.json()?) } else { None };
+        let renewed = self.state.lock().tasks.renew(Instant::now(), lease, ask.as_ref());
+        renewed.map(|lease| Answer::ok(&lease)).map_err(refused)
+    }
+
+    fn start(&self, request: &Request) -> Result<Answer, Answer> {
+        let start: StartTask = request.json()?;
+        let now = Instant::now();
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        if state.rebooting.is_some() {
+            return Err(refused(WorkerRefusal::Leaving));
+        }
+        state.tasks.start(now, &start, &state.pool, &mut state.journal).map_err(refused)?;
+        if state.faults.fail {
+            state.tasks.fail(now, &start.task, "the worker fails everything", &mut state.journal);
+        }
+        Ok(Answer::ok(&state.tasks.query(&start.task)))
+    }
+
+    fn query(&self, task: &str) -> Result<Answer, Answer> {
+        let state = self.state.lock();
+        if state.rebooting.is_some() {
+            return Err(Answer::error(StatusCode::SERVICE_UNAVAILABLE, "the worker reboots"));
+        }
+        Ok(Answer::ok(&state.tasks.query(task)))
+    }
+
+    fn stop(&self, task: &str) -> Result<Answer, Answer> {
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        Ok(Answer::ok(&state.tasks.stop(Instant::now(), task, &mut state.journal)))
+    }
+}
