Add rattanctl: declarations, diff, apply, keys, zones, workers, pools and status

Operators had no program: the operator interface existed as wire types only.

core::declaration reads TOML files over the parser's recovering mode, so one run lists every problem with its place. Deserializing with serde was ruled out, because it stops at the first problem. Entries with a problem get harmless values, so that no problem is reported as a consequence of another one.

validate rejects two exceptions of one field and scope and team exceptions of fields that belong to a pool: the first were ambiguous and the second had no effect.

--- a/crates/core/src/declaration/mod.rs
+++ b/crates/core/src/declaration/mod.rs
@@ -4,12 +4,17 @@
 //! exceptions from them. It is replaced as a whole by a `ConfigChanged` record; parsing and checking happen before
 //! the record is written, so every declaration in the log is valid.
 
+mod diff;
+mod reader;
+mod source;
 mod validate;
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use diff::Change;
+pub use source::{Located, Parsed, Place, Source, parse};
 pub use validate::Problem;
 
 /// The whole declared configuration of a fleet.
--- /dev/null
+++ b/crates/core/src/declaration/source.rs
@@ -0,0 +1,287 @@
+//! Reads declarations from TOML files and keeps the place of every entry.
+//!
+//! Reading does not stop at the first problem. An entry with a problem gets a harmless value, so that the checks of
+//! the whole declaration do not report consequences of it.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::reader::Reader;
+use super::{Declaration, Exception, Pool, Problem, Team};
+
+/// Message of the TOML parser for a repeated name; the rest of such a file is still read in full.
+const DUPLICATE: &str = "duplicate key";
+
+/// One file of a declaration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Name shown to people.
+    pub name: String,
+    /// Content.
+    pub text: String,
+}
+
+/// Place of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Index of the file.
+    pub file: usize,
+    /// Bytes of the entry in the file.
+    pub span: Range<usize>,
+}
+
+/// Problem and where it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Located {
+    /// Problem.
+    pub problem: Problem,
+    /// Place of the entry, unless nothing in the files names it.
+    pub place: Option<Place>,
+}
+
+/// Declaration merged from files.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Parsed {
+    /// Declaration; meaningful only if there are no problems.
+    pub declaration: Declaration,
+    /// Every problem, in the order of files and lines.
+    pub problems: Vec<Located>,
+    places: BTreeMap<String, Place>,
+}
+
+impl Parsed {
+    /// Place of an entry, or of the closest entry around it.
+    #[must_use]
+    pub fn place(&self, path: &str) -> Option<Place> {
+        let mut path = path;
+        loop {
+            if let Some(place) = self.places.get(path) {
+                return Some(place.clone());
+            }
+            path = path.rsplit_once('.')?.0;
+        }
+    }
+
+    /// Adds a problem found by a caller, such as a budget above the count of workers.
+    pub fn add(&mut self, problem: Problem) {
+        let place = self.place(&problem.path);
+        self.problems.push(Located { problem, place });
+        self.sort();
+    }
+
+    pub(super) fn report(&mut self, path: String, message: impl Into<String>, place: Place) {
+        let problem = Problem { path, message: message.into() };
+        self.problems.push(Located { problem, place: Some(place) });
+    }
+
+    /// Notes the place of an entry. Returns false, with a problem, if a file before has the entry.
+    pub(super) fn claim(&mut self, path: &str, place: Place) -> bool {
+        if self.places.contains_key(path) {
+            self.report(path.into(), "is declared twice", place);
+            return false;
+        }
+        self.places.insert(path.into(), place);
+        true
+    }
+
+    fn sort(&mut self) {
+        let key = |place: &Option<Place>| place.as_ref().map(|p| (p.file, p.span.start));
+        self.problems.sort_by_key(|located| key(&located.place));
+    }
+}
+
+/// Reads and merges files and checks the result as a whole.
+#[must_use]
+pub fn parse(sources: &[Source]) -> Parsed {
+    let mut parsed = Parsed::default();
+    let mut complete = true;
+    for (file, source) in sources.iter().enumerate() {
+        complete &= read_file(file, &source.text, &mut parsed);
+    }
+    if complete {
+        check_whole(&mut parsed);
+    }
+    parsed.sort();
+    parsed
+}
+
+/// Reports what the whole declaration breaks, except for entries that have a problem already.
+fn check_whole(parsed: &mut Parsed) {
+    for problem in parsed.declaration.validate() {
+        if parsed.problems.iter().all(|known| known.problem.path != problem.path) {
+            let place = parsed.place(&problem.path);
+            parsed.problems.push(Located { problem, place });
+        }
+    }
+}
+
+/// Returns false if the syntax is so broken that the content was not read.
+fn read_file(file: usize, text: &str, parsed: &mut Parsed) -> bool {
+    let (root, errors) = DeTable::parse_recoverable(text);
+    let (repeats, broken): (Vec<_>, Vec<_>) =
+        errors.into_iter().partition(|error| error.message() == DUPLICATE);
+    for error in &broken {
+        let place = Place { file, span: error.span().unwrap_or(0..0) };
+        parsed.report("syntax".into(), error.message(), place);
+    }
+    report_repeats(file, text, repeats.iter().filter_map(toml::de::Error::span), parsed);
+    if broken.is_empty() {
+        read_root(file, root.get_ref(), parsed);
+    }
+    broken.is_empty()
+}
+
+/// Reports repeated names. The fields of a repeated table are left out: the parser lists each of them as well.
+fn report_repeats(file: usize, text: &str, spans: impl Iterator<Item = Range<usize>>, parsed: &mut Parsed) {
+    let mut reported = None;
+    for span in spans {
+        let header = text[..span.start].rfind("\n[").map_or(0, |newline| newline + 1);
+        if reported == Some(header) {
+            continue;
+        }
+        let line = text[header..].lines().next().unwrap_or_default();
+        let table = line.trim_matches(['[', ']', ' ']);
+        let on_header = span.start < header + line.len();
+        let path = if on_header { table.to_owned() } else { format!("{table}.{}", &text[span.clone()]) };
+        if on_header {
+            reported = Some(header);
+        }
+        parsed.report(path, "is declared twice", Place { file, span });
+    }
+}
+
+fn read_root(file: usize, root: &DeTable<'_>, parsed: &mut Parsed) {
+    let mut reader = Reader::new(root, String::new(), Place { file, span: 0..0 }, parsed);
+    let defaults = reader.value("defaults");
+    let pools = reader.value("pools");
+    let teams = reader.value("teams");
+    let exceptions = reader.value("exceptions");
+    reader.finish();
+    if let Some(value) = defaults {
+        read_defaults(file, value, parsed);
+    }
+    for (name, place, table) in entries(file, "pools", pools, parsed) {
+        let pool = read_pool(&name, place, table, parsed);
+        parsed.declaration.pools.insert(name, pool);
+    }
+    for (name, place, table) in entries(file, "teams", teams, parsed) {
+        let team = read_team(&name, place, table, parsed);
+        parsed.declaration.teams.insert(name, team);
+    }
+    if let Some(value) = exceptions {
+        read_exceptions(file, value, parsed);
+    }
+}
+
+fn read_defaults(file: usize, value: &Spanned<DeValue<'_>>, parsed: &mut Parsed) {
+    let place = Place { file, span: value.span() };
+    let Some(table) = value.get_ref().as_table() else {
+        parsed.report("defaults".into(), "must be a table", place);
+        return;
+    };
+    let mut defaults = parsed.declaration.defaults.clone();
+    let mut reader = Reader::new(table, "defaults".into(), place, parsed);
+    reader.set("deadline_ms", &mut defaults.deadline_ms);
+    reader.set("deadline_cap_ms", &mut defaults.deadline_cap_ms);
+    reader.set("queue_length", &mut defaults.queue_length);
+    reader.set("body_bytes", &mut defaults.body_bytes);
+    reader.set("payload_bytes", &mut defaults.payload_bytes);
+    reader.set("task_attempts", &mut defaults.task_attempts);
+    reader.set("drains", &mut defaults.drains);
+    reader.set("ended_tasks", &mut defaults.ended_tasks);
+    reader.finish();
+    parsed.declaration.defaults = defaults;
+}
+
+type Entry<'a, 'i> = (String, Place, Option<&'a DeTable<'i>>);
+
+/// Named tables of a section, without the ones that an earlier file declares.
+fn entries<'a, 'i>(
+    file: usize,
+    section: &str,
+    value: Option<&'a Spanned<DeValue<'i>>>,
+    parsed: &mut Parsed,
+) -> Vec<Entry<'a, 'i>> {
+    let Some(value) = value else {
+        return Vec::new();
+    };
+    let Some(tables) = value.get_ref().as_table() else {
+        parsed.report(section.into(), "must be a table", Place { file, span: value.span() });
+        return Vec::new();
+    };
+    let mut found = Vec::new();
+    for (name, value) in tables {
+        let path = format!("{section}.{}", name.get_ref());
+        let place = Place { file, span: name.span() };
+        if !parsed.claim(&path, place.clone()) {
+            continue;
+        }
+        let table = value.get_ref().as_table();
+        if table.is_none() {
+            parsed.report(path, "must be a table", place.clone());
+        }
+        found.push((name.get_ref().to_string(), place, table));
+    }
+    found
+}
+
+fn read_pool(name: &str, place: Place, table: Option<&DeTable<'_>>, parsed: &mut Parsed) -> Pool {
+    let mut pool = Pool::default();
+    let Some(table) = table else {
+        return pool;
+    };
+    let mut reader = Reader::new(table, format!("pools.{name}"), place, parsed);
+    reader.require("min_serving", &mut pool.min_serving);
+    reader.set("open", &mut pool.open);
+    reader.set_some("open_team", &mut pool.open_team);
+    reader.set("spare", &mut pool.spare);
+    reader.finish();
+    pool
+}
+
+fn read_team(name: &str, place: Place, table: Option<&DeTable<'_>>, parsed: &mut Parsed) -> Team {
+    let mut team = Team { share: 1, limit: u32::MAX };
+    let Some(table) = table else {
+        return team;
+    };
+    let mut reader = Reader::new(table, format!("teams.{name}"), place, parsed);
+    reader.require("share", &mut team.share);
+    reader.require("limit", &mut team.limit);
+    reader.finish();
+    team
+}
+
+fn read_exceptions(file: usize, value: &Spanned<DeValue<'_>>, parsed: &mut Parsed) {
+    let Some(array) = value.get_ref().as_array() else {
+        let place = Place { file, span: value.span() };
+        parsed.report("exceptions".into(), "must be a list of tables: [[exceptions]]", place);
+        return;
+    };
+    for value in array {
+        let path = format!("exceptions[{}]", parsed.declaration.exceptions.len());
+        let place = Place { file, span: value.span() };
+        let Some(table) = value.get_ref().as_table() else {
+            parsed.report(path, "must be a table", place);
+            continue;
+        };
+        parsed.claim(&path, place.clone());
+        let exception = read_exception(path, place, table, parsed);
+        parsed.declaration.exceptions.push(exception);
+    }
+}
+
+fn read_exception(path: String, place: Place, table: &DeTable<'_>, parsed: &mut Parsed) -> Exception {
+    let mut exception =
+        Exception { pool: None, team: None, field: String::new(), value: 1, reason: String::new() };
+    let mut reader = Reader::new(table, path, place, parsed);
+    reader.set_some("pool", &mut exception.pool);
+    reader.set_some("team", &mut exception.team);
+    reader.require("field", &mut exception.field);
+    reader.require("value", &mut exception.value);
+    reader.require("reason", &mut exception.reason);
+    reader.finish();
+    exception
+}
--- a/crates/core/src/declaration/validate.rs
+++ b/crates/core/src/declaration/validate.rs
@@ -17,6 +17,9 @@
     "min_serving",
 ];
 
+/// Fields that belong to a pool; an exception for a team would have no effect.
+const POOL_FIELDS: [&str; 2] = ["drains", "min_serving"];
+
 /// One problem of a declaration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -105,6 +108,15 @@
         if exception.team.as_ref().is_some_and(|team| !self.teams.contains_key(team)) {
             problems.push(problem(format!("{path}.team"), "is not a declared team"));
         }
+        if exception.team.is_some() && POOL_FIELDS.contains(&exception.field.as_str()) {
+            problems.push(problem(format!("{path}.team"), "this field has exceptions per pool only"));
+        }
+        let same = |other: &Exception| {
+            (&other.field, &other.pool, &other.team) == (&exception.field, &exception.pool, &exception.team)
+        };
+        if self.exceptions[..index].iter().any(same) {
+            problems.push(problem(path, "an exception of this field and scope exists already"));
+        }
     }
 }
 
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,102 @@
+//! `rattanctl status`.
+
+use rattanfall_wire::operator::{MemberRow, PoolRow, Status, TeamRow, WorkerRow, ZoneRow};
+
+use super::Context;
+use crate::client::Client;
+use crate::error::CtlError;
+use crate::exit::Exit;
+use crate::table;
+
+/// Age of a view above which the tables may be out of date, in milliseconds; starts count as stale from here on.
+const STALE_MS: u64 = 5_000;
+
+/// Shows the state of the fleet as one instance sees it.
+pub(super) fn run(client: &Client, context: &mut Context<'_, '_>) -> Result<Exit, CtlError> {
+    let status: Status = client.get("/v1/status")?;
+    if context.json {
+        context.console.json(&status)?;
+        return Ok(Exit::Ok);
+    }
+    for section in sections(&status) {
+        context.console.line(&section)?;
+    }
+    if let Some(warning) = warning(&status) {
+        context.console.note(&warning);
+    }
+    Ok(Exit::Ok)
+}
+
+fn sections(status: &Status) -> Vec<String> {
+    vec![
+        format!("{}\n", head(status)),
+        section("MEMBERS", &["id", "name", "zone", "state"], &status.members, member),
+        section("POOLS", &["pool", "serving", "budget", "slots", "running", "waiting"], &status.pools, pool),
+        section("TEAMS", &["team", "share", "limit", "held", "running", "waiting"], &status.teams, team),
+        section("ZONES", &["zone", "state", "version"], &status.zones, zone),
+        section(
+            "WORKERS",
+            &["worker", "pool", "zone", "rack", "state", "slots", "running", "ejected"],
+            &status.workers,
+            worker,
+        ),
+    ]
+}
+
+fn head(status: &Status) -> String {
+    let number = |value: Option<u64>| value.map_or_else(|| "none".to_owned(), |value| value.to_string());
+    let age = status.view_age_ms.map_or_else(|| "never".to_owned(), |age| format!("{age} ms ago"));
+    format!(
+        "instance {}, member {}, configuration version {}, log offset {}, log end reached {age}",
+        status.instance,
+        number(status.member),
+        status.version,
+        number(status.applied)
+    )
+}
+
+fn section<T>(title: &str, header: &[&str], rows: &[T], row: fn(&T) -> Vec<String>) -> String {
+    if rows.is_empty() {
+        return format!("{title}\n none\n");
+    }
+    format!("{title}\n{}\n", table::render(header, rows.iter().map(row).collect()))
+}
+
+fn warning(status: &Status) -> Option<String> {
+    let stale = status.view_age_ms.is_none_or(|age| age > STALE_MS);
+    stale.then(|| {
+        "warning: this instance does not reach the end of the log; what it shows may be out of date".into()
+    })
+}
+
+fn member(row: &MemberRow) -> Vec<String> {
+    vec![row.id.to_string(), row.name.clone(), row.zone.clone(), row.state.clone()]
+}
+
+fn pool(row: &PoolRow) -> Vec<String> {
+    let counts = [row.serving, row.min_serving, row.slots, row.running, row.waiting];
+    with_counts(&row.name, &counts)
+}
+
+fn team(row: &TeamRow) -> Vec<String> {
+    let counts = [row.share, row.limit, row.held, row.running, row.waiting];
+    with_counts(&row.name, &counts)
+}
+
+fn with_counts(name: &str, counts: &[u32]) -> Vec<String> {
+    let mut cells = vec![name.to_owned()];
+    cells.extend(counts.iter().map(u32::to_string));
+    cells
+}
+
+fn zone(row: &ZoneRow) -> Vec<String> {
+    vec![row.name.clone(), row.state.clone(), row.version.to_string()]
+}
+
+fn worker(row: &WorkerRow) -> Vec<String> {
+    let ejected = if row.ejected { "yes" } else { "" };
+    let names = [&row.name, &row.pool, &row.zone, &row.rack, &row.state];
+    let mut cells: Vec<String> = names.into_iter().cloned().collect();
+    cells.extend([row.slots.to_string(), row.running.to_string(), ejected.into()]);
+    cells
+}
--- /dev/null
+++ b/crates/ctl/src/declare/mod.rs
@@ -0,0 +1,42 @@
+//! Files of a declaration: reading, checks and reports.
+
+mod budget;
+mod report;
+
+use clap::ArgMatches;
+use rattanfall_core::declaration::{Declaration, Parsed, Source, parse};
+
+use crate::console::Console;
+use crate::error::{CtlError, Kind};
+
+pub(crate) use budget::check_budgets;
+pub(crate) use report::{Entry, entries, report_problems, report_warnings};
+
+/// Reads the files named on the command line.
+pub(crate) fn read_sources(matches: &ArgMatches) -> Result<Vec<Source>, CtlError> {
+    let files = matches.get_many::<String>("files").into_iter().flatten();
+    files.map(|name| read_source(name)).collect()
+}
+
+fn read_source(name: &str) -> Result<Source, CtlError> {
+    let text = std::fs::read_to_string(name);
+    let text = text.map_err(|error| CtlError::new(Kind::File, format!("cannot read {name}: {error}")))?;
+    Ok(Source { name: name.to_owned(), text })
+}
+
+/// Reads a declaration that has no problems; reports the problems otherwise.
+pub(crate) fn load(matches: &ArgMatches, console: &mut Console<'_>) -> Result<Declaration, CtlError> {
+    let sources = read_sources(matches)?;
+    let parsed = parse(&sources);
+    if parsed.problems.is_empty() {
+        return Ok(parsed.declaration);
+    }
+    report_problems(&sources, &parsed, console);
+    Err(problem_count(&parsed))
+}
+
+fn problem_count(parsed: &Parsed) -> CtlError {
+    let count = parsed.problems.len();
+    let noun = if count == 1 { "problem" } else { "problems" };
+    CtlError::new(Kind::Invalid, format!("the declaration has {count} {noun}"))
+}
--- /dev/null
+++ b/crates/ctl/src/declare/report.rs
@@ -0,0 +1,87 @@
+//! Reports that point at the line of each problem.
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode};
+use rattanfall_core::declaration::{Located, Parsed, Problem, Source};
+use serde::Serialize;
+
+use crate::console::Console;
+
+/// One problem for `--json`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Entry {
+    file: Option<String>,
+    line: Option<usize>,
+    column: Option<usize>,
+    path: String,
+    message: String,
+}
+
+/// Problem with its file, for people.
+#[derive(Debug, thiserror::Error)]
+#[error("{}", located.problem)]
+struct Report {
+    located: Located,
+    code: Option<NamedSource<String>>,
+    severity: Severity,
+}
+
+impl Diagnostic for Report {
+    fn severity(&self) -> Option<Severity> {
+        Some(self.severity)
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        self.code.as_ref().map(|code| code as &dyn SourceCode)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let place = self.located.place.as_ref()?;
+        let label = LabeledSpan::new(None, place.span.start, place.span.len());
+        Some(Box::new(std::iter::once(label)))
+    }
+}
+
+/// Problems with file, line and column.
+pub(crate) fn entries(sources: &[Source], problems: &[Located]) -> Vec<Entry> {
+    problems.iter().map(|located| entry(sources, located)).collect()
+}
+
+fn entry(sources: &[Source], located: &Located) -> Entry {
+    let place = located.place.as_ref();
+    let source = place.and_then(|place| sources.get(place.file));
+    let before = place.and_then(|place| source?.text.get(..place.span.start));
+    let column = |text: &str| text.rsplit('\n').next().map_or(0, |line| line.chars().count()) + 1;
+    Entry {
+        file: source.map(|source| source.name.clone()),
+        line: before.map(|text| text.matches('\n').count() + 1),
+        column: before.map(column),
+        path: located.problem.path.clone(),
+        message: located.problem.message.clone(),
+    }
+}
+
+/// Reports every problem.
+pub(crate) fn report_problems(sources: &[Source], parsed: &Parsed, console: &mut Console<'_>) {
+    for located in &parsed.problems {
+        report(sources, located.clone(), Severity::Error, console);
+    }
+}
+
+/// Reports what is allowed but probably not meant.
+pub(crate) fn report_warnings(
+    sources: &[Source],
+    parsed: &Parsed,
+    warnings: &[Problem],
+    console: &mut Console<'_>,
+) {
+    for problem in warnings {
+        let located = Located { problem: problem.clone(), place: parsed.place(&problem.path) };
+        report(sources, located, Severity::Warning, console);
+    }
+}
+
+fn report(sources: &[Source], located: Located, severity: Severity, console: &mut Console<'_>) {
+    let source = located.place.as_ref().and_then(|place| sources.get(place.file));
+    let code = source.map(|source| NamedSource::new(&source.name, source.text.clone()));
+    console.report(&Report { located, code, severity });
+}
