--- a/crates/ctl/src/args/mod.rs
+++ b/crates/ctl/src/args/mod.rs
@@ -29,7 +29,6 @@
         .about("Manages a fleet of rattanfall: its declaration, keys, zones, workers and pools")
         .version(env!("CARGO_PKG_VERSION"))
         .after_help(EXIT_CODES)
-        .term_width(100)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .args(connection())
@@ -50,15 +49,14 @@
         .long(OPERATOR)
         .env("RATTANFALL_OPERATOR")
         .value_name("ADDRESS")
-        .help("Operator addresses of entry instances, ip:port, separated by commas; tried in order")
+        .help("Operator addresses of entry instances, ip:port,...; tried in order")
         .value_delimiter(',')
         .value_parser(NonEmptyStringValueParser::new());
     let credential = Arg::new(CREDENTIAL)
         .long(CREDENTIAL)
         .env("RATTANFALL_CREDENTIAL")
-        .hide_env_values(true)
         .value_name("TEXT")
-        .help("Operator credential; other users of the machine can read flags, so prefer the variable");
+        .help("Operator credential; the variable hides it from the process list");
     let timeout = Arg::new(TIMEOUT)
         .long(TIMEOUT)
         .env("RATTANFALL_TIMEOUT_MS")
@@ -66,7 +64,8 @@
         .help("Longest wait for the answer of one instance, in milliseconds")
         .default_value("15000")
         .value_parser(value_parser!(u64).range(1..));
-    [operator, credential, timeout].map(|arg| arg.global(true).help_heading("Connection"))
+    [operator, credential, timeout]
+        .map(|arg| arg.global(true).hide_env_values(true).help_heading("Connection"))
 }
 
 fn json() -> Arg {
--- a/crates/ctl/src/declare/budget.rs
+++ b/crates/ctl/src/declare/budget.rs
@@ -1,6 +1,6 @@
 //! Checks availability budgets against the counts of workers that an operator names.
 
-use rattanfall_core::declaration::{Parsed, Problem};
+use rattanfall_core::declaration::{Declaration, Parsed, Problem};
 
 /// Adds a problem for each budget that cannot hold. Returns warnings for budgets that leave no worker to drain.
 pub(crate) fn check_budgets<'a>(
@@ -9,13 +9,13 @@
 ) -> Vec<Problem> {
     let mut warnings = Vec::new();
     for (pool, count) in counts {
-        let path = format!("pools.{pool}.min_serving");
         if !parsed.declaration.pools.contains_key(pool) {
             let message = "--workers names a pool that is not declared".into();
             parsed.add(Problem { path: format!("pools.{pool}"), message });
             continue;
         }
         let needed = parsed.declaration.min_serving(pool);
+        let path = budget_path(&parsed.declaration, pool);
         if needed > *count {
             let message = format!("the budget of {needed} cannot hold with {count} workers");
             parsed.add(Problem { path, message });
@@ -26,3 +26,12 @@
     }
     warnings
 }
+
+/// Entry that sets the budget of a pool: its exception, or the pool itself.
+fn budget_path(declaration: &Declaration, pool: &str) -> String {
+    let exceptions = declaration.exceptions.iter();
+    let own = exceptions.clone().position(|e| e.field == "min_serving" && e.pool.as_deref() == Some(pool));
+    let all = exceptions.clone().position(|e| e.field == "min_serving" && e.pool.is_none());
+    let found = own.or(all).map(|index| format!("exceptions[{index}].value"));
+    found.unwrap_or_else(|| format!("pools.{pool}.min_serving"))
+}
--- /dev/null
+++ b/crates/ctl/tests/operator.rs
@@ -0,0 +1,322 @@
+//! Commands against fakes of the operator interface: results, conflicts, lost answers and unreachable instances.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test fails the test")]
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use insta::assert_snapshot;
+use rattanctl::Exit;
+use rattanfall_core::declaration::{Declaration, Exception, Pool, Team};
+use rattanfall_wire::operator::{Accepted, Config, Explanation, Status};
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::{Fake, Reply, refusing_address, run, run_at, stable};
+
+const FILE: &str = "tests/files/fleet.toml";
+
+fn running(limit: u32) -> Declaration {
+    let pool = Pool { min_serving: 6, ..Pool::default() };
+    let exception = |pool: &str| Exception {
+        pool: Some(pool.into()),
+        team: None,
+        field: "queue_length".into(),
+        value: 50,
+        reason: "Callers on the phone do not wait longer.".into(),
+    };
+    Declaration {
+        pools: BTreeMap::from([("orders".into(), pool)]),
+        teams: BTreeMap::from([("alder".into(), Team { share: 40, limit })]),
+        exceptions: vec![exception("orders")],
+        ..Declaration::default()
+    }
+}
+
+fn config(limit: u32) -> Reply {
+    Reply::json(&Config { version: 5, declaration: running(limit) })
+}
+
+fn accepted(value: u64) -> Reply {
+    Reply::json(&Accepted { offset: 812, value: Some(value) })
+}
+
+/// Guards against a diff that leaves out a kind of change or names the wrong version.
+#[test]
+fn diff_shows_every_kind_of_change() {
+    let mut declaration = running(240);
+    declaration.defaults.drains = 2;
+    declaration.pools.insert("quotes".into(), Pool::default());
+    declaration.exceptions[0].pool = None;
+    let config = Reply::json(&Config { version: 5, declaration });
+    let fake = Fake::start([config.clone(), config]);
+    let addresses = [fake.address.as_str()];
+    let ran = run_at(&addresses, &["diff", FILE], "");
+    assert_eq!(ran.exit, Exit::Ok);
+    assert_snapshot!("diff", ran.out);
+    assert_snapshot!("diff_json", run_at(&addresses, &["diff", FILE, "--json"], "").out);
+}
+
+/// Guards against a change that is sent against another version than the one that was shown.
+#[test]
+fn apply_names_the_version_it_read() {
+    let fake = Fake::start([config(240), accepted(6)]);
+    let ran = run_at(&[&fake.address], &["apply", FILE], "y\n");
+    assert_eq!(ran.exit, Exit::Ok, "{}", ran.err);
+    assert_snapshot!("apply", format!("{}{}", ran.out, ran.err));
+    assert_eq!(fake.lines(), ["GET /v1/config", "PUT /v1/config"]);
+    let sent: Config = serde_json::from_str(&fake.received()[1].body).unwrap();
+    assert_eq!(sent, Config { version: 5, declaration: running(260) });
+    assert_eq!(fake.received()[1].authorization, format!("Bearer {}", support::CREDENTIAL));
+}
+
+/// Guards against a change without consent: anything but yes, or the end of the input, must send nothing.
+#[rstest]
+#[case::no("n\n")]
+#[case::end("")]
+#[case::other("yesterday\n")]
+fn apply_asks(#[case] input: &str) {
+    let fake = Fake::start([config(240)]);
+    let ran = run_at(&[&fake.address], &["apply", FILE], input);
+    assert_eq!(ran.exit, Exit::Refused);
+    assert_eq!(fake.lines(), ["GET /v1/config"]);
+}
+
+/// Guards against versions that grow without a change.
+#[rstest]
+#[case::read(&["apply", FILE, "--yes"])]
+#[case::old_base(&["apply", FILE, "--yes", "--base", "4"])]
+fn apply_without_change(#[case] args: &[&str]) {
+    let fake = Fake::start([config(260)]);
+    let ran = run_at(&[&fake.address], args, "");
+    assert_eq!((ran.exit, ran.out.as_str()), (Exit::Ok, "nothing to change; version 5\n"));
+    assert_eq!(fake.lines(), ["GET /v1/config"]);
+}
+
+/// Guards against a lost race that looks like a success or an outage.
+#[test]
+fn apply_conflict() {
+    let message = "the change was made against version 5, the current version is 6";
+    let fake = Fake::start([config(240), Reply::error(409, "conflict", message)]);
+    let ran = run_at(&[&fake.address], &["apply", FILE, "--yes"], "");
+    assert_eq!(ran.exit, Exit::Conflict);
+    assert_snapshot!("conflict", ran.err);
+}
+
+/// Guards against a change against an old version that is sent although its loss is certain.
+#[test]
+fn apply_with_old_base() {
+    let fake = Fake::start([config(240)]);
+    let ran = run_at(&[&fake.address], &["apply", FILE, "--yes", "--base", "4"], "");
+    assert_eq!(ran.exit, Exit::Conflict);
+    assert_eq!(fake.lines(), ["GET /v1/config"]);
+}
+
+/// Guards against an instance that is behind and hides a change that its operator made a moment ago.
+#[test]
+fn apply_with_newer_base_lets_the_log_decide() {
+    let fake = Fake::start([config(260), accepted(8)]);
+    let ran = run_at(&[&fake.address], &["apply", FILE, "--yes", "--base", "7"], "");
+    assert_eq!(ran.exit, Exit::Ok);
+    let sent: Config = serde_json::from_str(&fake.received()[1].body).unwrap();
+    assert_eq!(sent.version, 7);
+    assert!(ran.err.contains("is at version 5, behind base 7"), "{}", ran.err);
+}
+
+/// Guards against a change that is repeated at another address although it may have taken effect (P8 for operators).
+#[rstest]
+#[case::closed(Reply::Close)]
+#[case::cut(Reply::Cut)]
+#[case::silent(Reply::Silent)]
+#[case::not_json(Reply::Answer(200, "ok".into()))]
+#[case::server_error(Reply::Answer(500, "panic".into()))]
+#[case::unknown(Reply::error(504, "unknown", "the change may still take effect"))]
+#[case::new_error(Reply::error(500, "later", "an error of a later version"))]
+fn lost_answer_is_unknown(#[case] reply: Reply) {
+    let first = Fake::start([reply]);
+    let second = Fake::start([accepted(1)]);
+    let addresses = [first.address.as_str(), &second.address];
+    let ran = run_at(&addresses, &["zones", "remove", "zone-a"], "");
+    assert_eq!(ran.exit, Exit::Unknown, "{}", ran.err);
+    assert_eq!(first.lines(), ["POST /v1/zones/zone-a/remove"]);
+    assert!(second.lines().is_empty());
+}
+
+/// Guards against an operator who has to search for an instance that works, when nothing was sent or changed.
+#[rstest]
+#[case::unavailable(Some(Reply::error(503, "unavailable", "nothing was changed")))]
+#[case::refused(None)]
+fn next_address_makes_the_change(#[case] reply: Option<Reply>) {
+    let first = reply.map(|reply| Fake::start([reply]));
+    let address = first.as_ref().map_or_else(refusing_address, |fake| fake.address.clone());
+    let second = Fake::start([accepted(3)]);
+    let ran = run_at(&[&address, &second.address], &["zones", "restore", "zone-a", "--base", "2"], "");
+    assert_eq!((ran.exit, ran.out.as_str()), (Exit::Ok, "restored zone zone-a at offset 812\n"));
+    assert_eq!(second.received()[0].body, "{\"version\":2}");
+}
+
+/// Guards against reads that fail although another instance answers.
+#[rstest]
+#[case::closed(Reply::Close)]
+#[case::cut(Reply::Cut)]
+#[case::silent(Reply::Silent)]
+#[case::server_error(Reply::Answer(500, "panic".into()))]
+#[case::not_ready(Reply::error(503, "unavailable", "not joined"))]
+fn reads_go_on(#[case] reply: Reply) {
+    let first = Fake::start([reply]);
+    let second = Fake::start([Reply::json(&Status::default())]);
+    let ran = run_at(&[&first.address, &second.address], &["keys", "list", "--json"], "");
+    assert_eq!((ran.exit, ran.out.as_str()), (Exit::Ok, "[]\n"), "{}", ran.err);
+}
+
+/// Guards against an outage report that hides which address failed for which reason.
+#[test]
+fn nothing_answers() {
+    let second = Fake::start([Reply::error(503, "unavailable", "the platform's log cannot be reached")]);
+    let refusing = refusing_address();
+    let ran = run_at(&[&refusing, &second.address], &["workers", "drain", "w1"], "");
+    assert_eq!(ran.exit, Exit::Unavailable);
+    assert!(ran.err.contains(&refusing) && ran.err.contains("cannot be reached"), "{}", ran.err);
+}
+
+/// Guards against refusals that share an exit code with another cause, and against names that do not fit the page.
+#[rstest]
+#[case::conflict(409, "conflict", Exit::Conflict)]
+#[case::invalid(422, "invalid", Exit::Input)]
+#[case::unknown_entity(404, "unknown-entity", Exit::Input)]
+#[case::malformed(400, "malformed", Exit::Input)]
+#[case::budget(409, "budget", Exit::Refused)]
+#[case::state(409, "state", Exit::Refused)]
+#[case::credential(401, "credential", Exit::Refused)]
+#[case::unavailable(503, "unavailable", Exit::Unavailable)]
+#[case::unknown(504, "unknown", Exit::Unknown)]
+fn refusals(#[case] status: u16, #[case] name: &str, #[case] exit: Exit) {
+    let fake = Fake::start([Reply::error(status, name, "said by the fake")]);
+    let ran = run_at(&[&fake.address], &["pools", "maintain", "orders", "--json"], "");
+    assert_eq!(ran.exit, exit);
+    let error: Value = serde_json::from_str(&ran.err).unwrap();
+    assert_eq!(error["error"], name);
+}
+
+/// Guards against statuses without a body that are taken for another error.
+#[rstest]
+#[case::unauthorized(401, Exit::Refused)]
+#[case::no_such_path(404, Exit::Input)]
+#[case::server_error(502, Exit::Unknown)]
+fn status_without_body(#[case] status: u16, #[case] exit: Exit) {
+    let fake = Fake::start([Reply::Answer(status, String::new())]);
+    let ran = run_at(&[&fake.address], &["workers", "move", "w1", "spare"], "");
+    assert_eq!(ran.exit, exit);
+    assert_eq!(fake.received()[0].body, "{\"pool\":\"spare\"}");
+}
+
+/// Guards against a key that leaves the operator's machine, or a hash that is not the hash of the printed key.
+#[test]
+fn grant_sends_only_the_hash() {
+    use sha2::{Digest, Sha256};
+    let fake = Fake::start([accepted(7), accepted(8)]);
+    let addresses = [fake.address.as_str()];
+    let first = run_at(&addresses, &["keys", "grant", "alder"], "");
+    let second = run_at(&addresses, &["keys", "grant", "alder"], "");
+    let key = first.out.trim();
+    assert_eq!((first.exit, key.len()), (Exit::Ok, 64));
+    assert_ne!(first.out, second.out);
+    assert!(!first.err.contains(key));
+    let hash: String = Sha256::digest(key).iter().map(|byte| format!("{byte:02x}")).collect();
+    let sent: Value = serde_json::from_str(&fake.received()[0].body).unwrap();
+    assert_eq!(sent, json!({ "team": "alder", "hash": hash }));
+    assert_eq!(first.err, "granted key 7 to team alder at offset 812; shown only once\n");
+}
+
+/// Guards against a printed key that may not work.
+#[test]
+fn grant_with_unknown_result_prints_no_key() {
+    let fake = Fake::start([Reply::Close]);
+    let ran = run_at(&[&fake.address], &["keys", "grant", "alder"], "");
+    assert_eq!((ran.exit, ran.out.as_str()), (Exit::Unknown, ""));
+    assert_snapshot!("grant_unknown", stable(&ran.err, &[&fake.address]));
+}
+
+/// Guards against changes that go to a wrong endpoint.
+#[rstest]
+#[case(&["keys", "withdraw", "7"], "DELETE /v1/keys/7", "withdrew key 7 at offset 812\n")]
+#[case(&["zones", "remove", "a"], "POST /v1/zones/a/remove", "removed zone a at offset 812\n")]
+#[case(&["workers", "drain", "w1"], "POST /v1/workers/w1/drain", "started to drain worker w1 at offset 812\n")]
+#[case(
+    &["workers", "move", "w1", "spare"],
+    "POST /v1/workers/w1/move",
+    "started to move worker w1 to pool spare at offset 812\n"
+)]
+#[case(
+    &["pools", "maintain", "orders"],
+    "POST /v1/pools/orders/maintenance",
+    "started maintenance of pool orders at offset 812\n"
+)]
+fn endpoints(#[case] args: &[&str], #[case] line: &str, #[case] out: &str) {
+    let fake = Fake::start([accepted(1)]);
+    let ran = run_at(&[&fake.address], args, "");
+    assert_eq!((ran.exit, ran.out.as_str()), (Exit::Ok, out));
+    assert_eq!(fake.lines(), [line]);
+}
+
+/// Guards against tables that drop a column, and against a view that is old without a warning.
+#[test]
+fn status_tables() {
+    let text = include_str!("files/status.json");
+    let fake = Fake::start([200, 200].map(|status| Reply::Answer(status, text.into())));
+    let addresses = [fake.address.as_str()];
+    let ran = run_at(&addresses, &["status"], "");
+    assert_snapshot!("status", format!("{}{}", ran.out, ran.err));
+    assert_snapshot!("keys", run_at(&addresses, &["keys", "list"], "").out);
+}
+
+/// Guards against JSON output that loses fields of the interface.
+#[test]
+fn status_json_is_complete() {
+    let text = include_str!("files/status.json");
+    let fake = Fake::start([Reply::Answer(200, text.into())]);
+    let ran = run_at(&[&fake.address], &["--json", "status"], "");
+    let (shown, sent): (Value, Value) =
+        (serde_json::from_str(&ran.out).unwrap(), serde_json::from_str(text).unwrap());
+    assert_eq!(shown, sent);
+}
+
+/// Guards against an explanation without its reasons.
+#[test]
+fn explain_gives_reasons() {
+    let explanation = Explanation {
+        id: "t-12-7".into(),
+        state: "waiting".into(),
+        owner: 12,
+        reasons: vec!["team alder runs 240 of 240 slots".into(), "pool renders has no free slot".into()],
+    };
+    let fake = Fake::start([Reply::json(&explanation)]);
+    let ran = run_at(&[&fake.address], &["explain", "t-12-7"], "");
+    assert_snapshot!("explain", ran.out);
+    assert_eq!(fake.lines(), ["GET /v1/explain/tasks/t-12-7"]);
+}
+
+/// Guards against input errors that reach an instance, and against their exit codes.
+#[rstest]
+#[case::task(&["explain", "t12"], Exit::Input)]
+#[case::declaration(&["apply", "tests/files/broken.toml", "--yes"], Exit::Input)]
+#[case::name(&["zones", "remove", "a/../b"], Exit::Usage)]
+#[case::id(&["keys", "withdraw", "seven"], Exit::Usage)]
+#[case::command(&["zones", "destroy", "a"], Exit::Usage)]
+#[case::json_question(&["apply", FILE, "--json"], Exit::Usage)]
+fn input_errors(#[case] args: &[&str], #[case] exit: Exit) {
+    let fake = Fake::start([]);
+    let ran = run_at(&[&fake.address], args, "");
+    assert_eq!(ran.exit, exit, "{}", ran.err);
+    assert!(fake.lines().is_empty());
+}
+
+/// Guards against a call without a credential, and against one without an address.
+#[rstest]
+#[case::credential(&["status", "--operator", "127.0.0.1:1", "--credential", ""], "no credential")]
+#[case::address(&["status", "--credential", "c"], "no address")]
+fn connection_is_required(#[case] args: &[&str], #[case] message: &str) {
+    let ran = run(args, "");
+    assert_eq!(ran.exit, Exit::Usage);
+    assert!(ran.err.contains(message), "{}", ran.err);
+}
--- /dev/null
+++ b/crates/ctl/tests/support/mod.rs
@@ -0,0 +1,181 @@
+//! Runs `rattanctl` in process, against fakes of the operator interface.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(clippy::unwrap_used, reason = "a failed step of a test helper fails the test")]
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::io::{Cursor, Error};
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rattanctl::{Console, Exit};
+use tokio::net::TcpListener;
+
+pub(crate) const CREDENTIAL: &str = "operator-secret";
+
+/// What a command printed and how it ended.
+pub(crate) struct Ran {
+    pub(crate) exit: Exit,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// Runs a command line without the program name; `input` answers its questions.
+pub(crate) fn run(args: &[&str], input: &str) -> Ran {
+    let (mut out, mut err, mut input) = (Vec::new(), Vec::new(), Cursor::new(input.to_owned()));
+    let mut console = Console { out: &mut out, err: &mut err, input: &mut input, color: false };
+    let args = std::iter::once("rattanctl").chain(args.iter().copied()).map(Into::into);
+    let exit = rattanctl::run(args, &mut console);
+    Ran { exit, out: String::from_utf8(out).unwrap(), err: String::from_utf8(err).unwrap() }
+}
+
+/// Runs a command line against operator addresses.
+pub(crate) fn run_at(addresses: &[&str], args: &[&str], input: &str) -> Ran {
+    let operator = addresses.join(",");
+    let connection = ["--operator", &operator, "--credential", CREDENTIAL, "--timeout-ms", "1000"];
+    run(&[&connection, args].concat(), input)
+}
+
+/// Output with stable addresses, for snapshots.
+pub(crate) fn stable(text: &str, addresses: &[&str]) -> String {
+    let mut text = text.to_owned();
+    for (index, address) in addresses.iter().enumerate() {
+        text = text.replace(address, &format!("ADDRESS-{index}"));
+    }
+    text
+}
+
+/// Answer of a fake to one call.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// Status and body.
+    Answer(u16, String),
+    /// The connection closes before any answer.
+    Close,
+    /// The connection closes within the body of the answer.
+    Cut,
+    /// No answer at all.
+    Silent,
+}
+
+impl Reply {
+    pub(crate) fn json(value: &impl serde::Serialize) -> Self {
+        Self::Answer(200, serde_json::to_string(value).unwrap())
+    }
+
+    pub(crate) fn error(status: u16, error: &str, message: &str) -> Self {
+        let body = serde_json::json!({ "error": error, "message": message });
+        Self::Answer(status, body.to_string())
+    }
+}
+
+/// One call that a fake has received.
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    pub(crate) line: String,
+    pub(crate) authorization: String,
+    pub(crate) body: String,
+}
+
+/// Fake of the operator interface of one entry instance.
+pub(crate) struct Fake {
+    pub(crate) address: String,
+    received: Arc<Mutex<Vec<Received>>>,
+}
+
+impl Fake {
+    /// Starts a fake that gives these answers in order and then closes connections.
+    pub(crate) fn start(replies: impl IntoIterator<Item = Reply>) -> Self {
+        let listener = StdListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let replies = Arc::new(Mutex::new(replies.into_iter().collect::<VecDeque<_>>()));
+        let log = Arc::clone(&received);
+        std::thread::spawn(move || serve(listener, &replies, &log));
+        Self { address, received }
+    }
+
+    pub(crate) fn received(&self) -> Vec<Received> {
+        self.received.lock().unwrap().clone()
+    }
+
+    /// Request lines in the order of their arrival.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        self.received().into_iter().map(|call| call.line).collect()
+    }
+}
+
+/// Address that refuses connections.
+pub(crate) fn refusing_address() -> String {
+    let listener = StdListener::bind("127.0.0.1:0").unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    address.to_string()
+}
+
+type Replies = Arc<Mutex<VecDeque<Reply>>>;
+type Log = Arc<Mutex<Vec<Received>>>;
+
+fn serve(listener: StdListener, replies: &Replies, log: &Log) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::from_std(listener).unwrap();
+        while let Ok((stream, _)) = listener.accept().await {
+            let (replies, log) = (Arc::clone(replies), Arc::clone(log));
+            let service = service_fn(move |request| answer(request, Arc::clone(&replies), Arc::clone(&log)));
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+}
+
+async fn answer(request: Request<Incoming>, replies: Replies, log: Log) -> Result<Response<Text>, Error> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(Error::other)?.to_bytes();
+    let authorization = head.headers.get("authorization").map_or("", |value| value.to_str().unwrap());
+    log.lock().unwrap().push(Received {
+        line: format!("{} {}", head.method, head.uri),
+        authorization: authorization.to_owned(),
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    });
+    let reply = replies.lock().unwrap().pop_front().unwrap_or(Reply::Close);
+    let (status, text, cut) = match reply {
+        Reply::Answer(status, text) => (status, text, false),
+        Reply::Cut => (200, "{\"offset\":".to_owned(), true),
+        Reply::Close => return Err(Error::other("closed by the test")),
+        Reply::Silent => std::future::pending::<Result<_, Infallible>>().await.map_err(Error::other)?,
+    };
+    let body = Text { part: Some(text.into()), cut };
+    Ok(Response::builder().status(status).body(body).unwrap())
+}
+
+/// Body that may break off.
+struct Text {
+    part: Option<Bytes>,
+    cut: bool,
+}
+
+impl Body for Text {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match self.part.take() {
+            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            None if self.cut => Poll::Ready(Some(Err(Error::other("cut by the test")))),
+            None => Poll::Ready(None),
+        }
+    }
+}
