--- a/crates/core/src/declaration/validate.rs
+++ b/crates/core/src/declaration/validate.rs
@@ -17,9 +17,6 @@
     "min_serving",
 ];
 
-/// Fields that belong to a pool; an exception for a team would have no effect.
-const POOL_FIELDS: [&str; 2] = ["drains", "min_serving"];
-
 /// One problem of a declaration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -62,6 +59,7 @@
         positive("payload_bytes", defaults.payload_bytes);
         positive("task_attempts", defaults.task_attempts.into());
         positive("drains", defaults.drains.into());
+        positive("ended_tasks", defaults.ended_tasks.into());
         if defaults.deadline_cap_ms < defaults.deadline_ms {
             problems.push(problem("defaults.deadline_cap_ms".into(), "is below deadline_ms"));
         }
@@ -102,20 +100,31 @@
         if !EXCEPTION_FIELDS.contains(&exception.field.as_str()) {
             problems.push(problem(format!("{path}.field"), "is not a field of the defaults"));
         }
+        self.check_scope(index, exception, &path, problems);
         if exception.pool.as_ref().is_some_and(|pool| !self.pools.contains_key(pool)) {
             problems.push(problem(format!("{path}.pool"), "is not a declared pool"));
         }
         if exception.team.as_ref().is_some_and(|team| !self.teams.contains_key(team)) {
             problems.push(problem(format!("{path}.team"), "is not a declared team"));
         }
-        if exception.team.is_some() && POOL_FIELDS.contains(&exception.field.as_str()) {
-            problems.push(problem(format!("{path}.team"), "this field has exceptions per pool only"));
+    }
+
+    /// Rejects exceptions that would have no effect, or that another one makes ambiguous.
+    fn check_scope(&self, index: usize, exception: &Exception, path: &str, problems: &mut Vec<Problem>) {
+        let field = exception.field.as_str();
+        if field == "ended_tasks" {
+            problems.push(problem(format!("{path}.field"), "counts the whole fleet and has no exceptions"));
+        }
+        let per_pool = field == "drains" || field == "min_serving";
+        if per_pool && exception.team.is_some() {
+            problems.push(problem(format!("{path}.team"), "is not allowed for a field of pools"));
         }
-        let same = |other: &Exception| {
-            (&other.field, &other.pool, &other.team) == (&exception.field, &exception.pool, &exception.team)
-        };
-        if self.exceptions[..index].iter().any(same) {
-            problems.push(problem(path, "an exception of this field and scope exists already"));
+        if !per_pool && exception.value == 0 {
+            problems.push(problem(format!("{path}.value"), "must be at least 1"));
+        }
+        let scope = |e: &Exception| (e.field.clone(), e.pool.clone(), e.team.clone());
+        if self.exceptions[..index].iter().any(|other| scope(other) == scope(exception)) {
+            problems.push(problem(path.to_owned(), "repeats an exception for the same pool, team and field"));
         }
     }
 }
