--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -21,8 +21,8 @@
     for section in sections(&status) {
         context.console.line(&section)?;
     }
-    if let Some(warning) = warning(&status) {
-        context.console.note(&warning);
+    for warning in warnings(&status) {
+        context.console.note(&format!("warning: {warning}"));
     }
     Ok(Exit::Ok)
 }
@@ -62,11 +62,17 @@
     format!("{title}\n{}\n", table::render(header, rows.iter().map(row).collect()))
 }
 
-fn warning(status: &Status) -> Option<String> {
-    let stale = status.view_age_ms.is_none_or(|age| age > STALE_MS);
-    stale.then(|| {
-        "warning: this instance does not reach the end of the log; what it shows may be out of date".into()
-    })
+fn warnings(status: &Status) -> Vec<String> {
+    let mut warnings = Vec::new();
+    if status.view_age_ms.is_none_or(|age| age > STALE_MS) {
+        let stale = "this instance does not reach the end of the log; what it shows may be out of date";
+        warnings.push(stale.to_owned());
+    }
+    for pool in status.pools.iter().filter(|pool| pool.serving < pool.min_serving) {
+        let PoolRow { name, serving, min_serving, .. } = pool;
+        warnings.push(format!("pool {name} has {serving} workers serving, its budget is {min_serving}"));
+    }
+    warnings
 }
 
 fn member(row: &MemberRow) -> Vec<String> {
--- a/crates/ctl/tests/help.rs
+++ b/crates/ctl/tests/help.rs
@@ -66,6 +66,18 @@
     found
 }
 
+/// Guards against sample settings that the program does not read.
+#[test]
+fn sample_settings_are_known() {
+    let sample = include_str!("../../../examples/ctl.env");
+    let assigned =
+        sample.lines().filter(|line| !line.starts_with('#')).filter_map(|line| line.split_once('='));
+    let known = args::command();
+    let known = known.get_arguments().filter_map(|arg| arg.get_env()?.to_str().map(str::to_owned));
+    let assigned: BTreeSet<String> = assigned.map(|(name, _)| name.to_owned()).collect();
+    assert_eq!(assigned, known.collect());
+}
+
 /// Guards against a command without an example on the page.
 #[test]
 fn page_shows_every_command() {
