--- a/crates/standin/src/worker/tasks.rs
+++ b/crates/standin/src/worker/tasks.rs
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub struct Tasks {
     worker: String,
+    /// Random number of the worker's process.
+    pub(super) nonce: u64,
     ttl: Duration,
     next: u64,
     leases: BTreeMap<u64, Held>,
@@ -50,9 +52,10 @@
 impl Tasks {
     /// No leases and no runs.
     #[must_use]
-    pub const fn new(worker: String, ttl: Duration) -> Self {
+    pub const fn new(worker: String, nonce: u64, ttl: Duration) -> Self {
         Self {
             worker,
+            nonce,
             ttl,
             next: 1,
             leases: BTreeMap::new(),
@@ -129,7 +132,7 @@
             payload,
             before: Duration::from_millis(checkpoint.done_ms),
             started: now,
-            status: status(RunState::Running, start.attempt),
+            status: status(RunState::Running, start.attempt, self.nonce),
         };
         self.runs.insert(start.task.clone(), run);
         self.running.insert(start.task.clone());
@@ -171,7 +174,7 @@
     /// State of a task.
     #[must_use]
     pub fn query(&self, task: &str) -> TaskStatus {
-        self.runs.get(task).map_or_else(|| status(RunState::Never, 0), |run| run.status.clone())
+        self.runs.get(task).map_or_else(|| status(RunState::Never, 0, self.nonce), |run| run.status.clone())
     }
 
     /// Stops a running attempt and withdraws a lease under which nothing started.
@@ -255,12 +258,13 @@
     }
 
     fn lease(&self, lease: u64) -> Lease {
-        Lease { lease, ttl_ms: u64::try_from(self.ttl.as_millis()).unwrap_or(u64::MAX) }
+        let ttl_ms = u64::try_from(self.ttl.as_millis()).unwrap_or(u64::MAX);
+        Lease { lease, ttl_ms, nonce: self.nonce }
     }
 }
 
-const fn status(state: RunState, attempt: u32) -> TaskStatus {
-    TaskStatus { state, attempt, result: None, reason: None, checkpoint: None }
+const fn status(state: RunState, attempt: u32, nonce: u64) -> TaskStatus {
+    TaskStatus { state, attempt, nonce, result: None, reason: None, checkpoint: None }
 }
 
 fn journal_start(start: &StartTask, payload: &Payload, pool: &str) -> Start {
--- a/crates/standin/tests/tasks.rs
+++ b/crates/standin/tests/tasks.rs
@@ -17,7 +17,7 @@
 
 #[fixture]
 fn bench() -> Bench {
-    Bench { tasks: Tasks::new("w".into(), TTL), journal: Journal::new(100), now: Instant::now() }
+    Bench { tasks: Tasks::new("w".into(), 1, TTL), journal: Journal::new(100), now: Instant::now() }
 }
 
 fn ask(attempt: u32) -> AskLease {
