Script the engine under failures and retry proven-not-run attempts without a budget

Cause: in the script worker_dead_rack six requests were refused although nothing had run: a refused connection drew on the retry budget, which starts empty. Ruled out: a budget that starts full, which lets the first wave of an outage multiply work. Change: attempts that are proven not to have run are retried on other workers up to four sends, because they add no work; only attempts that may have run draw on the budget. Sixteen scripts over engines with faults, each step checked against limits, removed zones and the workers' own starts.

--- a/crates/core/src/engine/command/mod.rs
+++ b/crates/core/src/engine/command/mod.rs
@@ -146,8 +146,6 @@
     Deadline,
     /// No worker of the pool takes work.
     NoWorker,
-    /// Workers refused and the retry budget is spent.
-    RetryBudget,
     /// The caller cancelled.
     Cancelled,
     /// The entry instance is stopping.
@@ -196,7 +194,6 @@
             Self::QueueFull => "queue-full",
             Self::Deadline => "deadline",
             Self::NoWorker => "no-worker",
-            Self::RetryBudget => "retry-budget",
             Self::Cancelled => "cancelled",
             Self::Stopping => "stopping",
             Self::PlatformUnavailable => "platform-unavailable",
--- a/crates/core/src/engine/systems/attempts.rs
+++ b/crates/core/src/engine/systems/attempts.rs
@@ -35,7 +35,7 @@
             AttemptEnd::Answered { .. } => self.finish(key),
             AttemptEnd::Refused(refusal) => self.retry_refused(now, &facts, refusal),
             AttemptEnd::Unsent => {
-                self.retry(now, &facts, RetryReason::Unsent, Refusal::NotRun(NotRun::RetryBudget));
+                self.retry_unrun(now, &facts, RetryReason::Unsent);
             }
             AttemptEnd::Broken => self.retry_unproven(now, &facts, RetryReason::Broken, Unknown::Broken),
             AttemptEnd::Corrupt => {
@@ -139,23 +139,33 @@
             self.wait_again(facts.key, reason);
             return;
         }
-        self.retry(now, facts, reason, Refusal::NotRun(NotRun::RetryBudget));
+        self.retry_unrun(now, facts, reason);
+    }
+
+    /// Tries another worker after a proof that nothing ran. Such a retry adds no work to the fleet and pauses the
+    /// worker, so it needs no budget.
+    fn retry_unrun(&mut self, now: Millis, facts: &Facts, reason: RetryReason) {
+        if facts.deadline > now && facts.attempts < REQUEST_ATTEMPTS {
+            self.wait_again(facts.key, reason);
+        } else {
+            self.end_request(facts.key, Refusal::NotRun(NotRun::NoWorker));
+        }
     }
 
     fn retry_unproven(&mut self, now: Millis, facts: &Facts, reason: RetryReason, unknown: Unknown) {
         if facts.idempotent {
-            self.retry(now, facts, reason, Refusal::Unknown(unknown));
+            self.retry(now, facts, reason, unknown);
         } else {
             self.end_request(facts.key, Refusal::Unknown(unknown));
         }
     }
 
-    fn retry(&mut self, now: Millis, facts: &Facts, reason: RetryReason, otherwise: Refusal) {
+    fn retry(&mut self, now: Millis, facts: &Facts, reason: RetryReason, unknown: Unknown) {
         let in_time = facts.deadline > now && facts.attempts < REQUEST_ATTEMPTS;
         if in_time && self.take_retry(facts.team) {
             self.wait_again(facts.key, reason);
         } else {
-            self.end_request(facts.key, otherwise);
+            self.end_request(facts.key, Refusal::Unknown(unknown));
         }
     }
 
--- a/crates/core/tests/bench/mod.rs
+++ b/crates/core/tests/bench/mod.rs
@@ -5,10 +5,12 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the fakes")]
 
+pub mod checks;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use checks::Checks;
 use rattanfall_core::declaration::Declaration;
 use rattanfall_core::engine::command::{Command, ProposalError, Refusal};
 use rattanfall_core::engine::event::{
@@ -48,8 +50,7 @@
     pub list_version: u64,
     /// Run time of each request, in milliseconds.
     pub work_ms: u64,
-    /// Highest running work seen per team, over all workers.
-    pub peak: BTreeMap<TeamId, u32>,
+    pub checks: Checks,
     nonces: u64,
 }
 
@@ -64,7 +65,7 @@
             workers: BTreeMap::new(),
             list_version: 1,
             work_ms: 100,
-            peak: BTreeMap::new(),
+            checks: Checks::default(),
             nonces: 0,
         }
     }
@@ -319,7 +320,7 @@
             }
             Some(worker) => {
                 let ms = if worker.fails { 1 } else { work_ms };
-                worker.start_request(team, now.0 + ms);
+                worker.start_request(team, now.0, now.0 + ms);
                 self.node(name).flying.insert(order.request, (order.address.clone(), now.0 + ms));
                 None
             }
@@ -386,16 +387,9 @@
     }
 
     fn measure(&mut self) {
-        let mut running: BTreeMap<TeamId, u32> = BTreeMap::new();
-        for worker in self.workers.values() {
-            for team in worker.teams() {
-                *running.entry(team).or_default() += 1;
-            }
-        }
-        for (team, slots) in running {
-            let peak = self.peak.entry(team).or_default();
-            *peak = (*peak).max(slots);
-        }
+        let cut: Vec<&str> =
+            self.nodes.iter().filter(|(_, n)| n.cut).map(|(name, _)| name.as_str()).collect();
+        self.checks.look(self.now.0, &self.log, &self.workers, cut.is_empty());
     }
 
     /// Task ids of all accepted tasks, by the view of one node.
--- a/crates/core/tests/bench/worker.rs
+++ b/crates/core/tests/bench/worker.rs
@@ -44,6 +44,8 @@
     pub reboots: u32,
     /// Starts of each task, for checks that nothing ran twice.
     pub starts: BTreeMap<TaskId, u32>,
+    /// Time of the last start of any work, in milliseconds.
+    pub last_start: u64,
     requests: Vec<(TeamId, u64)>,
     pub tasks: BTreeMap<TaskId, TaskRun>,
     leases: BTreeMap<u64, (TaskId, u32, u64)>,
@@ -64,6 +66,7 @@
             silent: false,
             reboots: 0,
             starts: BTreeMap::new(),
+            last_start: 0,
             requests: Vec::new(),
             tasks: BTreeMap::new(),
             leases: BTreeMap::new(),
@@ -80,7 +83,8 @@
         self.requests.iter().map(|(team, _)| *team).chain(tasks)
     }
 
-    pub fn start_request(&mut self, team: TeamId, end: u64) {
+    pub fn start_request(&mut self, team: TeamId, now: u64, end: u64) {
+        self.last_start = now;
         self.requests.push((team, end));
     }
 
@@ -157,6 +161,7 @@
         let team = TeamId(team.parse().expect("payload starts with a team"));
         let run = TaskRun { attempt: order.attempt, team, end: now + ms, lapses, state: RunState::Running };
         self.tasks.insert(order.task, run);
+        self.last_start = now;
         *self.starts.entry(order.task).or_default() += 1;
         TaskAnswer::Running
     }
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -76,7 +76,8 @@
         bench.run(100);
     }
     let team = bench.fleet("e1").team("austin").expect("declared");
-    assert_eq!(bench.peak[&team], limit);
+    assert_eq!(bench.checks.peak[&team], limit);
+    assert!(bench.checks.broken.is_empty(), "{:?}", bench.checks.broken);
 }
 
 #[test]
--- /dev/null
+++ b/crates/core/tests/engine_scenarios.rs
@@ -0,0 +1,278 @@
+//! Scenario scripts over engines: each file is a sequence of directives with the expected output.
+//!
+//! The runner keeps virtual time and fixed seeds, so a script always gives the same output. `broken` in the output of
+//! `check` lists every invariant that did not hold.
+
+mod bench;
+
+use std::fmt::Write;
+
+use bench::Bench;
+use bench::worker::RunState;
+use datadriven::{TestCase, walk};
+use rattanfall_core::declaration::{Declaration, Pool, Team};
+use rattanfall_core::engine::command::Refusal;
+use rattanfall_core::fleet::{TaskState, WorkerState};
+use rattanfall_core::record::{KeyHash, Record};
+
+/// Bench of one script, and the refusals that were reported already.
+struct Script {
+    bench: Bench,
+    declaration: Declaration,
+    shown: usize,
+}
+
+#[test]
+fn scripts_give_the_expected_output() {
+    walk("tests/scenarios_engine", |file| {
+        let mut script = Script { bench: Bench::new(), declaration: Declaration::default(), shown: 0 };
+        file.run(|case| script.run(case));
+    });
+}
+
+fn hash(name: &str) -> KeyHash {
+    let mut hash = [0; 32];
+    hash[..name.len()].copy_from_slice(name.as_bytes());
+    hash
+}
+
+fn text(case: &TestCase, name: &str) -> String {
+    case.args.get(name).and_then(|values| values.first()).cloned().unwrap_or_default()
+}
+
+fn number(case: &TestCase, name: &str, default: u64) -> u64 {
+    text(case, name).parse().unwrap_or(default)
+}
+
+impl Script {
+    fn run(&mut self, case: &TestCase) -> String {
+        match case.directive.as_str() {
+            "fleet" => self.start_fleet(case),
+            "limit" => self.change_limit(case),
+            "requests" => self.submit_requests(case),
+            "tasks" => self.submit_tasks(case),
+            "cancel" => self.cancel_tasks(case),
+            "operate" => self.operate(case),
+            "fault" => self.fault(case),
+            "run" => self.bench.run(number(case, "ms", 1_000)),
+            "check" => return self.check(),
+            "show" => return self.show(),
+            other => panic!("unknown directive {other}"),
+        }
+        "ok\n".into()
+    }
+
+    /// Starts three instances in three zones with workers, two teams with a key each, and a spare pool.
+    fn start_fleet(&mut self, case: &TestCase) {
+        let limit = u32::try_from(number(case, "limit", 12)).expect("small");
+        let min_serving = u32::try_from(number(case, "min", 2)).expect("small");
+        for zone in 1..=3 {
+            self.bench.start(&format!("e{zone}"), &format!("z{zone}"));
+        }
+        for index in 0..number(case, "workers", 6) {
+            let (zone, rack) = (format!("z{}", index % 3 + 1), format!("r{}", index / 2));
+            let slots = u32::try_from(number(case, "slots", 4)).expect("small");
+            self.bench.add_worker(&format!("w{index}"), "orders", &zone, &rack, slots);
+        }
+        self.declaration.pools.insert("orders".into(), Pool { min_serving, ..Pool::default() });
+        self.declaration.pools.insert("other".into(), Pool::default());
+        for team in ["austin", "dallas"] {
+            self.declaration.teams.insert(team.into(), Team { share: 1, limit });
+        }
+        self.bench.run(500);
+        self.bench.configure("e1", &self.declaration.clone());
+        self.bench.run(300);
+        for team in ["austin", "dallas"] {
+            self.bench.propose("e1", Record::KeyGranted { team: team.into(), hash: hash(team) });
+        }
+        self.bench.run(3_000);
+    }
+
+    fn change_limit(&mut self, case: &TestCase) {
+        let team = self.declaration.teams.get_mut(&text(case, "team")).expect("declared");
+        team.limit = u32::try_from(number(case, "slots", 1)).expect("small");
+        self.bench.configure(&text(case, "at"), &self.declaration.clone());
+    }
+
+    /// Submits `count` requests at each named instance, every `every` milliseconds, for `ms` milliseconds.
+    fn submit_requests(&mut self, case: &TestCase) {
+        self.bench.work_ms = number(case, "work", 100);
+        let (count, every) = (number(case, "count", 1), number(case, "every", 100));
+        let key = hash(&text(case, "team"));
+        let idempotent = text(case, "idempotent") == "true";
+        for _ in 0..(number(case, "ms", every) / every).max(1) {
+            for name in &case.args["at"] {
+                for _ in 0..count {
+                    if self.bench.nodes[name].acts() {
+                        self.bench.submit(name, key, "orders", idempotent, number(case, "deadline", 10_000));
+                    }
+                }
+            }
+            self.bench.run(every);
+        }
+    }
+
+    fn submit_tasks(&mut self, case: &TestCase) {
+        let idempotent = text(case, "idempotent") == "true";
+        for name in &case.args["at"] {
+            for _ in 0..number(case, "count", 1) {
+                self.bench.submit_task(
+                    name,
+                    hash(&text(case, "team")),
+                    "orders",
+                    idempotent,
+                    number(case, "work", 500),
+                );
+            }
+        }
+    }
+
+    fn cancel_tasks(&mut self, case: &TestCase) {
+        let name = text(case, "at");
+        for task in self.bench.tasks(&name) {
+            self.bench.propose(&name, Record::TaskCancelled { task });
+        }
+    }
+
+    fn operate(&mut self, case: &TestCase) {
+        let at = text(case, "at");
+        let fleet = self.bench.fleet(&at);
+        let record = if case.args.contains_key("withdraw") {
+            let key = fleet.hashes[&hash(&text(case, "withdraw"))];
+            Record::KeyWithdrawn { key }
+        } else if case.args.contains_key("remove") {
+            let zone = text(case, "remove");
+            Record::ZoneRemoved { base: fleet.zones[&fleet.zone(&zone).expect("known")].version, zone }
+        } else if case.args.contains_key("restore") {
+            let zone = text(case, "restore");
+            Record::ZoneRestored { base: fleet.zones[&fleet.zone(&zone).expect("known")].version, zone }
+        } else if case.args.contains_key("move") {
+            let worker = fleet.worker(&text(case, "move")).expect("known");
+            Record::MoveLeft { worker, to: text(case, "to") }
+        } else {
+            Record::WaveStarted { pool: text(case, "wave") }
+        };
+        self.bench.propose(&at, record);
+    }
+
+    fn fault(&mut self, case: &TestCase) {
+        for (kind, names) in &case.args {
+            for name in names {
+                self.set_fault(kind, name);
+            }
+        }
+    }
+
+    fn set_fault(&mut self, kind: &str, name: &str) {
+        match kind {
+            "freeze" => self.bench.node(name).frozen = true,
+            "resume" => self.bench.node(name).frozen = false,
+            "cut" => self.bench.node(name).cut = true,
+            "heal" => self.bench.node(name).cut = false,
+            "kill" => self.bench.kill(name),
+            "replace" => {
+                let zone = self.bench.nodes[name].engine.options().zone.clone();
+                self.bench.start(name, &zone);
+            }
+            "stop" => self.bench.stop(name),
+            "log" => self.bench.log_down = name == "down",
+            "lose" => self.bench.lose_answers = name.parse().expect("a number"),
+            "dead" | "fails" | "silent" | "leaving" | "well" => self.set_worker(kind, name),
+            other => panic!("unknown fault {other}"),
+        }
+    }
+
+    fn set_worker(&mut self, kind: &str, name: &str) {
+        let worker = self.bench.workers.get_mut(name).expect("worker exists");
+        worker.dead = kind == "dead";
+        worker.fails = kind == "fails";
+        worker.silent = kind == "silent";
+        worker.leaving = kind == "leaving";
+        self.bench.list_version += 1;
+    }
+
+    /// Broken invariants, peaks, and tasks that ran more often than allowed.
+    fn check(&self) -> String {
+        let checks = &self.bench.checks;
+        let mut out = String::new();
+        for (team, peak) in &checks.peak {
+            writeln!(out, "{} peak {peak}", checks.fleet.teams[team].name).expect("string");
+        }
+        for (id, task) in &checks.fleet.tasks {
+            let starts: u32 = self.bench.workers.values().filter_map(|w| w.starts.get(id)).sum();
+            if starts > 1 && !task.idempotent {
+                writeln!(out, "broken: {id} started {starts} times").expect("string");
+            }
+        }
+        for line in &checks.broken {
+            writeln!(out, "broken: {line}").expect("string");
+        }
+        out
+    }
+
+    /// Members, requests by end, tasks by state, workers by state.
+    fn show(&mut self) -> String {
+        let mut out = String::new();
+        let fleet = &self.bench.checks.fleet;
+        writeln!(out, "members {}", fleet.live_members().count()).expect("string");
+        let answered: u64 = self.bench.nodes.values().map(|n| n.answered).sum();
+        writeln!(out, "answered {answered}").expect("string");
+        for (reason, count) in self.refusals() {
+            writeln!(out, "{reason} {count}").expect("string");
+        }
+        for (state, count) in self.task_states() {
+            writeln!(out, "tasks {state} {count}").expect("string");
+        }
+        for (state, count) in self.worker_states() {
+            writeln!(out, "workers {state} {count}").expect("string");
+        }
+        self.shown += 1;
+        out
+    }
+
+    fn refusals(&self) -> std::collections::BTreeMap<&'static str, u32> {
+        let mut counts = std::collections::BTreeMap::new();
+        for refusal in self.bench.nodes.values().flat_map(|n| n.refused.values()) {
+            let name = match refusal {
+                Refusal::NotRun(reason) => reason.name(),
+                Refusal::Unknown(reason) => reason.name(),
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+
+    fn task_states(&self) -> std::collections::BTreeMap<String, u32> {
+        let mut counts = std::collections::BTreeMap::new();
+        for task in self.bench.checks.fleet.tasks.values() {
+            let name = match &task.state {
+                TaskState::Waiting => "waiting".to_owned(),
+                TaskState::Started { .. } => "started".to_owned(),
+                TaskState::Ended { outcome, .. } => {
+                    let text = format!("{outcome:?}");
+                    text.split('(').next().unwrap_or_default().to_lowercase()
+                }
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+
+    fn worker_states(&self) -> std::collections::BTreeMap<String, u32> {
+        let mut counts = std::collections::BTreeMap::new();
+        for worker in self.bench.checks.fleet.workers.values() {
+            let name = match worker.state {
+                WorkerState::Draining(_) => "draining".to_owned(),
+                WorkerState::Moving { .. } => "moving".to_owned(),
+                state => format!("{state:?}").to_lowercase(),
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        let running = self.bench.workers.values().flat_map(|w| w.tasks.values());
+        let running = running.filter(|run| run.state == RunState::Running).count();
+        if running > 0 {
+            counts.insert("running tasks".into(), u32::try_from(running).expect("few"));
+        }
+        counts
+    }
+}
