--- a/crates/entry/src/options/mod.rs
+++ b/crates/entry/src/options/mod.rs
@@ -138,7 +138,7 @@
         ENGINE,
         "Log batches between two snapshots",
     ),
-    setting("log", "RATTANFALL_LOG", Some("info"), LOGS, "Log filter, as of env_logger"),
+    setting("log", "RATTANFALL_LOG", Some("info,tarpc=warn"), LOGS, "Log filter, as of env_logger"),
 ];
 
 const fn setting(
--- a/crates/entry/src/platform/log.rs
+++ b/crates/entry/src/platform/log.rs
@@ -8,6 +8,7 @@
 use rattanfall_core::fleet::Fleet;
 use rattanfall_core::ids::Offset;
 use rattanfall_core::record::decode;
+use rattanfall_wire::platform::FIRST_OFFSET;
 use thiserror::Error;
 
 use super::Tail;
@@ -39,7 +40,7 @@
         Arc::new(Self {
             shell,
             tail: Tail::default(),
-            next: Mutex::new(0),
+            next: Mutex::new(FIRST_OFFSET),
             reached: Mutex::new(Instant::now()),
         })
     }
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -4,6 +4,9 @@
 use rattanfall_core::record::WorkerSeen;
 use serde::{Deserialize, Serialize};
 
+/// Offset of the first entry that a log ever takes.
+pub const FIRST_OFFSET: u64 = 1;
+
 /// Body of `POST /log/append`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Append {
