Add the load generator

No tool could say whether a caller was told the truth.

- Open loop in a thread of its own: the runtime's timer has steps of 1 ms, more than the latencies to be measured.
- Each piece of work carries a token; after the run the workers' journals are compared with the answers.
- Share owed is water-filled here independently of the entry instances, so that the report can find their errors.
- A closed loop, idle connections, and the same load straight to the workers for comparison.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,7 @@
 //! Starts `rattanfall-load`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> miette::Result<ExitCode> {
+    rattanfall_load::run()
+}
--- /dev/null
+++ b/crates/load/src/run/mod.rs
@@ -0,0 +1,96 @@
+//! One run: load, audit, report.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use miette::IntoDiagnostic;
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+
+use crate::audit;
+use crate::client::Client;
+use crate::flow::{self, Flow};
+use crate::idle::Idle;
+use crate::options::Options;
+use crate::pacer;
+use crate::report::{Comparison, Report};
+use crate::send::{Context, Mode};
+use crate::tally::Tally;
+use crate::targets::Workers;
+
+/// Time between the set-up and the first intended send.
+const LEAD: Duration = Duration::from_millis(100);
+
+/// Runs the load and returns its report.
+///
+/// # Errors
+///
+/// Fails if a flow is malformed, no target is named, or the platform does not answer.
+pub async fn run_load(options: &Options) -> miette::Result<Report> {
+    let mut flows = flow::parse(&options.flows, options.surge)?;
+    for flow in &mut flows {
+        flow.rate *= options.scale;
+    }
+    miette::ensure!(!options.entries.is_empty(), "no entry instance is named");
+    let before = workers(options).await?;
+    let direct = match &before {
+        Some(workers) if options.direct => {
+            Some(drive(options, &flows, Mode::Direct(workers.clone())).await?.0)
+        }
+        _ => None,
+    };
+    let idle = Idle::open(&options.entries, options.connections).await;
+    let (mut tally, prefix) = drive(options, &flows, Mode::Entries(options.entries.clone())).await?;
+    let idle = idle.close().await;
+    let audit = match (&before, workers(options).await?) {
+        (Some(before), Some(after)) => {
+            let all: BTreeSet<Arc<str>> = before.all().chain(after.all()).cloned().collect();
+            let journals = audit::fetch(&all, &prefix).await;
+            Some(audit::check(&mut tally, &flows, &prefix, &journals))
+        }
+        _ => None,
+    };
+    let mut report = Report::new(&tally, &flows, audit);
+    report.idle = (options.connections > 0).then_some(idle);
+    report.direct = direct.map(|direct| Comparison::new(&tally, &direct));
+    Ok(report)
+}
+
+async fn workers(options: &Options) -> miette::Result<Option<Workers>> {
+    match &options.platform {
+        Some(platform) => Ok(Some(Workers::read(platform).await?)),
+        None => Ok(None),
+    }
+}
+
+async fn drive(options: &Options, flows: &[Flow], mode: Mode) -> miette::Result<(Tally, String)> {
+    let (ends, collected) = mpsc::channel();
+    let start = Instant::now() + LEAD;
+    let prefix = format!("{:08x}", rand::random::<u32>());
+    let context = Arc::new(Context {
+        flows: flows.to_vec(),
+        client: Client::default(),
+        mode,
+        prefix: prefix.clone(),
+        start,
+        give_up: start + options.duration + options.drain,
+        tolerate_cuts: options.tolerate_cuts,
+        ends,
+    });
+    let owned = flows.to_vec();
+    let collector = tokio::task::spawn_blocking(move || {
+        let mut tally = Tally::default();
+        collected.iter().for_each(|ended| tally.add(&owned, ended));
+        tally
+    });
+    if options.closed > 0 {
+        tokio::time::sleep_until(start).await;
+        pacer::closed_loop(context, options.duration, options.seed, options.closed).await;
+    } else {
+        pacer::open_loop(context, options.duration, options.seed, Handle::current()).into_diagnostic()?;
+    }
+    // The channel ends when the pacer and the last job have dropped the context.
+    Ok((collector.await.into_diagnostic()?, prefix))
+}
--- /dev/null
+++ b/crates/load/src/send/task.rs
@@ -0,0 +1,138 @@
+//! Tasks: submitted with a token, then looked up until they ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use rattanfall_wire::caller::{
+    CLASS_HEADER, IDEMPOTENT_HEADER, OUTCOME_HEADER, SubmittedTask, TOKEN_HEADER, TaskBody,
+};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use super::request::{class_name, reason, text};
+use super::{Breach, Context, Outcome};
+use crate::client::Reply;
+use crate::flow::Order;
+
+/// Submissions of one task, all with the same submit token.
+const SUBMISSIONS: usize = 5;
+/// Wait between two submissions.
+const SUBMIT_WAIT: Duration = Duration::from_millis(200);
+/// Wait between two look-ups.
+const LOOKUP_WAIT: Duration = Duration::from_millis(250);
+/// Longest time for one call.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Submits a task and follows it to its end.
+pub(super) async fn run(context: &Context, order: &Order) -> Outcome {
+    match submit(context, order).await {
+        Ok(id) => follow(context, order, &id).await,
+        Err(outcome) => outcome,
+    }
+}
+
+async fn submit(context: &Context, order: &Order) -> Result<String, Outcome> {
+    let targets = context.targets(order);
+    let mut last = Outcome::NotRun("unreachable".into());
+    // Only an answer that follows no doubtful one proves that nothing was accepted.
+    let mut doubtful = false;
+    for target in targets.iter().cycle().take(SUBMISSIONS) {
+        match submit_once(context, order, target).await {
+            Some(reply) if reply.status.is_success() => {
+                let task = serde_json::from_slice::<SubmittedTask>(&reply.body);
+                return task.map(|task| task.id).map_err(|_| Outcome::Broken(Breach::TruncatedAnswer));
+            }
+            Some(reply) if text(&reply.headers, OUTCOME_HEADER) == "not-run" => {
+                last = Outcome::NotRun(reason(&reply));
+                if !doubtful {
+                    return Err(last);
+                }
+            }
+            Some(reply) => {
+                doubtful = true;
+                last = Outcome::Unknown(reason(&reply));
+            }
+            None => {
+                doubtful = true;
+                last = Outcome::Unknown("no-answer".into());
+            }
+        }
+        sleep(SUBMIT_WAIT).await;
+    }
+    Err(if doubtful { Outcome::Unknown("submission-unknown".into()) } else { last })
+}
+
+async fn submit_once(context: &Context, order: &Order, target: &Arc<str>) -> Option<Reply> {
+    let flow = context.flow(order);
+    let token = context.token(order);
+    let payload = json!({
+        "work_ms": order.work_ms,
+        "checkpoint": true,
+        "token": token,
+        "team": &*flow.team,
+    });
+    let builder = Request::post(format!("/v1/pools/{}/tasks", flow.pool))
+        .header("host", &**target)
+        .header(CLASS_HEADER, class_name(flow.class))
+        .header(IDEMPOTENT_HEADER, if order.idempotent { "true" } else { "false" })
+        .header(TOKEN_HEADER, &token)
+        .header("authorization", format!("Bearer {}", flow.key));
+    let request = builder.body(Full::new(payload.to_string().into())).ok()?;
+    context.client.send(target, request, CALL_LIMIT).await.ok()
+}
+
+async fn follow(context: &Context, order: &Order, id: &str) -> Outcome {
+    let targets = context.targets(order);
+    let mut missing = false;
+    for target in targets.iter().cycle() {
+        if Instant::now() >= context.give_up {
+            break;
+        }
+        sleep(LOOKUP_WAIT).await;
+        let Some(reply) = look_up(context, order, target, id).await else { continue };
+        let Ok(body) = serde_json::from_slice::<TaskBody>(&reply.body) else {
+            // An instance that lags behind may not know the task yet; one that never does has lost it.
+            missing |= reply.status == http::StatusCode::NOT_FOUND;
+            continue;
+        };
+        missing = false;
+        if let Some(outcome) = ended(&context.token(order), &body) {
+            return outcome;
+        }
+    }
+    if missing { Outcome::Broken(Breach::LostTask) } else { Outcome::Unknown("unfinished".into()) }
+}
+
+async fn look_up(context: &Context, order: &Order, target: &Arc<str>, id: &str) -> Option<Reply> {
+    let builder = Request::get(format!("/v1/tasks/{id}")).header("host", &**target);
+    let builder = builder.header("authorization", format!("Bearer {}", context.flow(order).key));
+    let request = builder.body(Full::new(Bytes::new())).ok()?;
+    context.client.send(target, request, CALL_LIMIT).await.ok()
+}
+
+fn ended(token: &str, body: &TaskBody) -> Option<Outcome> {
+    let reason = body.reason.clone().filter(|reason| !reason.is_empty());
+    match (body.state.as_str(), reason) {
+        ("waiting" | "running", _) => None,
+        ("done", _) => Some(done(token, body)),
+        ("failed", Some(_)) => Some(Outcome::Done { failed: true }),
+        ("unknown", Some(reason)) => Some(Outcome::Unknown(reason.into())),
+        // The load cancels nothing, so a cancelled task was not ended by its caller.
+        _ => Some(Outcome::Broken(Breach::LostTask)),
+    }
+}
+
+fn done(token: &str, body: &TaskBody) -> Outcome {
+    let result = body.result.as_deref().unwrap_or_default();
+    let Ok(result) = serde_json::from_str::<Value>(result) else {
+        return Outcome::Broken(Breach::TruncatedAnswer);
+    };
+    if result["token"] == token {
+        Outcome::Done { failed: false }
+    } else {
+        Outcome::Broken(Breach::CrossedAnswer)
+    }
+}
--- /dev/null
+++ b/crates/load/src/send/verify.rs
@@ -0,0 +1,42 @@
+//! Checks that an answer is whole and belongs to its request.
+
+use http::HeaderMap;
+
+use super::Breach;
+
+/// Header with the token of the work; workers echo it.
+pub(super) const TOKEN_HEADER: &str = "x-caller-token";
+/// Header of an answer with the size of the request body that arrived.
+const RECEIVED_HEADER: &str = "x-received-bytes";
+
+/// Checks the body of a worker's answer: the token, a line end, and dots up to the wanted size.
+///
+/// # Errors
+///
+/// The broken promise.
+pub fn verify(
+    token: &str,
+    answer_bytes: usize,
+    body_bytes: usize,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<(), Breach> {
+    let echoed = headers.get(TOKEN_HEADER);
+    if echoed.is_some_and(|echoed| echoed.as_bytes() != token.as_bytes()) {
+        return Err(Breach::CrossedAnswer);
+    }
+    let own = [token.as_bytes(), b"\n"].concat();
+    let size = answer_bytes.max(own.len());
+    if !body.starts_with(&own[..own.len().min(body.len())]) {
+        return Err(Breach::CrossedAnswer);
+    }
+    let filled = body.get(own.len()..).is_some_and(|rest| rest.iter().all(|byte| *byte == b'.'));
+    if body.len() != size || !filled {
+        return Err(Breach::TruncatedAnswer);
+    }
+    let received = headers.get(RECEIVED_HEADER).and_then(|value| value.to_str().ok());
+    if received.is_some_and(|received| received != body_bytes.to_string()) {
+        return Err(Breach::TruncatedAnswer);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/tally/mod.rs
@@ -0,0 +1,133 @@
+//! Sums of a run: per team and class, per second, and per piece of work for the audit.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::flow::{Flow, Order};
+use crate::send::{Breach, Ended, Outcome};
+
+/// Longest latency that a histogram holds, in microseconds.
+const LATENCY_LIMIT_US: u64 = 600_000_000;
+
+/// Team and class of a row; tasks are a class of their own.
+pub type RowKey = (Arc<str>, &'static str);
+
+/// Sums of one team and class.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Latency of done work, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Work sent.
+    pub sent: u64,
+    /// Work done.
+    pub done: u64,
+    /// Done work that failed at the worker.
+    pub failed: u64,
+    /// Work that did not run, by reason.
+    pub not_run: BTreeMap<String, u64>,
+    /// Work that may have run, by reason.
+    pub unknown: BTreeMap<String, u64>,
+    /// Duration of the work sent, in milliseconds.
+    pub sent_ms: u64,
+    /// Duration of the work done, in milliseconds.
+    pub done_ms: u64,
+}
+
+/// Trace of one piece of work for the audit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// Work.
+    pub order: Order,
+    /// Outcome.
+    pub outcome: Outcome,
+}
+
+/// Sums of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Rows by team and class.
+    pub rows: BTreeMap<RowKey, Row>,
+    /// Broken promises.
+    pub breaches: BTreeMap<Breach, u64>,
+    /// Traces by number.
+    pub traces: BTreeMap<u64, Trace>,
+    /// Duration of the work done per team in each second of the run, in milliseconds.
+    pub series: BTreeMap<Arc<str>, Vec<u64>>,
+    /// Time of the last end.
+    pub elapsed: Duration,
+}
+
+impl Default for Row {
+    fn default() -> Self {
+        let latency =
+            Histogram::new_with_max(LATENCY_LIMIT_US, 3).expect("the bounds are constant and valid");
+        Self {
+            latency,
+            sent: 0,
+            done: 0,
+            failed: 0,
+            not_run: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            sent_ms: 0,
+            done_ms: 0,
+        }
+    }
+}
+
+impl Tally {
+    /// Adds the end of a piece of work.
+    pub fn add(&mut self, flows: &[Flow], ended: Ended) {
+        let Ended { order, at, latency, outcome } = ended;
+        let flow = &flows[order.flow];
+        let class = if order.task { "task" } else { crate::send::class_name(flow.class) };
+        let row = self.rows.entry((flow.team.clone(), class)).or_default();
+        row.sent += 1;
+        row.sent_ms += u64::from(order.work_ms);
+        match &outcome {
+            Outcome::Done { failed: false } => {
+                row.done += 1;
+                row.done_ms += u64::from(order.work_ms);
+                row.latency.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+                self.add_second(&flow.team, at, order.work_ms);
+            }
+            Outcome::Done { failed: true } => {
+                row.done += 1;
+                row.failed += 1;
+            }
+            Outcome::NotRun(reason) => *row.not_run.entry(reason.to_string()).or_default() += 1,
+            Outcome::Unknown(reason) => *row.unknown.entry(reason.to_string()).or_default() += 1,
+            Outcome::Broken(breach) => self.add_breach(*breach),
+        }
+        self.elapsed = self.elapsed.max(at);
+        self.traces.insert(order.number, Trace { order, outcome });
+    }
+
+    /// Counts a broken promise.
+    pub fn add_breach(&mut self, breach: Breach) {
+        *self.breaches.entry(breach).or_default() += 1;
+    }
+
+    /// Latency of all done requests, in microseconds.
+    #[must_use]
+    pub fn latency(&self) -> Histogram<u64> {
+        let mut all = Row::default().latency;
+        let rows = self.rows.iter().filter(|((_, class), _)| *class != "task");
+        for (_, row) in rows {
+            let added = all.add(&row.latency);
+            debug_assert!(added.is_ok(), "all histograms have the same bounds");
+        }
+        all
+    }
+
+    fn add_second(&mut self, team: &Arc<str>, at: Duration, work_ms: u32) {
+        let seconds = self.series.entry(team.clone()).or_default();
+        let second = usize::try_from(at.as_secs()).unwrap_or(usize::MAX);
+        if seconds.len() <= second {
+            seconds.resize(second + 1, 0);
+        }
+        seconds[second] += u64::from(work_ms);
+    }
+}
