--- a/crates/core/src/fleet/tables.rs
+++ b/crates/core/src/fleet/tables.rs
@@ -109,6 +109,8 @@
     pub slots: u32,
     /// True until the maintenance wave of its pool has reached it.
     pub due: bool,
+    /// Random number of the process that a reboot was allowed for; none once the maintenance has ended.
+    pub reboot: Option<u64>,
     /// Life cycle.
     pub state: WorkerState,
 }
@@ -173,6 +175,8 @@
         attempt: u32,
         /// Worker.
         worker: WorkerId,
+        /// Random number of the worker's process at the start.
+        nonce: u64,
     },
     /// Ended at this offset.
     Ended {
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -168,6 +168,9 @@
         attempt: u32,
         /// Worker that the start goes to.
         worker: WorkerId,
+        /// Random number of the worker's process that granted the lease. A worker that restarted has forgotten what
+        /// it ran, so its word that it never ran a task counts only under the same number.
+        nonce: u64,
     },
     /// The last start of a task did not run or ended without result; the task waits again.
     TaskRequeued {
@@ -272,8 +275,10 @@
     Refused,
     /// The worker says that it never started the attempt, and every lease for it has lapsed.
     NeverStarted,
-    /// The worker reports that the attempt stopped, and may have kept a checkpoint.
+    /// The worker reports that the attempt stopped.
     Stopped,
+    /// The worker reports that the attempt stopped and returned a checkpoint from which the next one goes on.
+    Checkpointed,
     /// The worker reports that the attempt failed.
     Failed,
     /// The worker is lost; allowed for idempotent tasks only.
