--- a/crates/standin/src/worker/state.rs
+++ b/crates/standin/src/worker/state.rs
@@ -27,12 +27,13 @@
 
 impl State {
     pub(super) fn new(spec: &Spec) -> Self {
+        let nonce = rand::random();
         Self {
-            nonce: rand::random(),
+            nonce,
             pool: spec.pool.clone(),
             rebooting: None,
             requests: 0,
-            tasks: Tasks::new(spec.name.clone(), Duration::from_millis(spec.lease_ms)),
+            tasks: Tasks::new(spec.name.clone(), nonce, Duration::from_millis(spec.lease_ms)),
             journal: Journal::new(spec.journal),
             faults: Faults::default(),
             peers: HashSet::new(),
@@ -87,8 +88,8 @@
 
     /// Stops everything; requests end by themselves when they see the reboot.
     pub(super) fn reboot(&mut self, now: Instant, pool: String, duration: Duration) {
-        self.tasks.reboot(now, &mut self.journal);
         self.nonce = rand::random();
+        self.tasks.reboot(now, self.nonce, &mut self.journal);
         self.pool = pool;
         self.rebooting = Some(now + duration);
     }
--- a/crates/standin/src/worker/tasks.rs
+++ b/crates/standin/src/worker/tasks.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub struct Tasks {
     worker: String,
+    nonce: u64,
     ttl: Duration,
     next: u64,
     leases: BTreeMap<u64, Held>,
@@ -50,15 +51,9 @@
 impl Tasks {
     /// No leases and no runs.
     #[must_use]
-    pub const fn new(worker: String, ttl: Duration) -> Self {
-        Self {
-            worker,
-            ttl,
-            next: 1,
-            leases: BTreeMap::new(),
-            runs: BTreeMap::new(),
-            running: BTreeSet::new(),
-        }
+    pub fn new(worker: String, nonce: u64, ttl: Duration) -> Self {
+        let (leases, runs, running) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        Self { worker, nonce, ttl, next: 1, leases, runs, running }
     }
 
     /// Slots taken: runs, and leases under which nothing started yet.
@@ -129,7 +124,7 @@
             payload,
             before: Duration::from_millis(checkpoint.done_ms),
             started: now,
-            status: status(RunState::Running, start.attempt),
+            status: status(self.nonce, RunState::Running, start.attempt),
         };
         self.runs.insert(start.task.clone(), run);
         self.running.insert(start.task.clone());
@@ -171,7 +166,7 @@
     /// State of a task.
     #[must_use]
     pub fn query(&self, task: &str) -> TaskStatus {
-        self.runs.get(task).map_or_else(|| status(RunState::Never, 0), |run| run.status.clone())
+        self.runs.get(task).map_or_else(|| status(self.nonce, RunState::Never, 0), |run| run.status.clone())
     }
 
     /// Stops a running attempt and withdraws a lease under which nothing started.
@@ -183,12 +178,14 @@
         self.query(task)
     }
 
-    /// Stops everything and voids every lease. The records of the runs are kept.
-    pub fn reboot(&mut self, now: Instant, journal: &mut Journal) {
+    /// Stops everything, voids every lease and forgets every run, as a restarted process does.
+    pub fn reboot(&mut self, now: Instant, nonce: u64, journal: &mut Journal) {
         for task in self.running.clone() {
             self.halt(now, &task, RunEnd::Rebooted, journal);
         }
         self.leases.clear();
+        self.runs.clear();
+        self.nonce = nonce;
     }
 
     /// Ends a running attempt as failed.
@@ -255,12 +252,12 @@
     }
 
     fn lease(&self, lease: u64) -> Lease {
-        Lease { lease, ttl_ms: u64::try_from(self.ttl.as_millis()).unwrap_or(u64::MAX) }
+        Lease { lease, ttl_ms: u64::try_from(self.ttl.as_millis()).unwrap_or(u64::MAX), nonce: self.nonce }
     }
 }
 
-const fn status(state: RunState, attempt: u32) -> TaskStatus {
-    TaskStatus { state, attempt, result: None, reason: None, checkpoint: None }
+const fn status(nonce: u64, state: RunState, attempt: u32) -> TaskStatus {
+    TaskStatus { state, attempt, nonce, result: None, reason: None, checkpoint: None }
 }
 
 fn journal_start(start: &StartTask, payload: &Payload, pool: &str) -> Start {
--- a/crates/standin/tests/tasks.rs
+++ b/crates/standin/tests/tasks.rs
@@ -17,7 +17,7 @@
 
 #[fixture]
 fn bench() -> Bench {
-    Bench { tasks: Tasks::new("w".into(), TTL), journal: Journal::new(100), now: Instant::now() }
+    Bench { tasks: Tasks::new("w".into(), 7, TTL), journal: Journal::new(100), now: Instant::now() }
 }
 
 fn ask(attempt: u32) -> AskLease {
@@ -116,3 +116,16 @@
     assert_eq!(bench.tasks.stop(bench.now, "t-1-1", &mut bench.journal).state, RunState::Never);
     assert!(bench.tasks.grant(bench.now, &other, 1, 0).is_ok());
 }
+
+/// Guards against a "never" of a restarted worker that a new owner could take as proof.
+#[rstest]
+fn a_reboot_changes_the_nonce_of_every_answer(mut bench: Bench) {
+    let lease = bench.grant(1).unwrap();
+    let running = bench.start(lease.lease, 1, None).unwrap();
+    assert_eq!((lease.nonce, running.nonce), (7, 7));
+    bench.tasks.reboot(bench.now, 8, &mut bench.journal);
+    let after = bench.tasks.query("t-1-1");
+    assert_eq!((after.state, after.nonce), (RunState::Never, 8));
+    assert_eq!(bench.tasks.renew(bench.now, 0, Some(&ask(1))), Err(WorkerRefusal::Lease));
+    assert_eq!(bench.journal.page("w", 0, 10).entries[0].end, RunEnd::Rebooted);
+}
