--- a/crates/standin/src/worker/state.rs
+++ b/crates/standin/src/worker/state.rs
@@ -88,9 +88,8 @@
 
     /// Stops everything; requests end by themselves when they see the reboot.
     pub(super) fn reboot(&mut self, now: Instant, pool: String, duration: Duration) {
-        self.tasks.reboot(now, &mut self.journal);
         self.nonce = rand::random();
-        self.tasks.nonce = self.nonce;
+        self.tasks.reboot(now, self.nonce, &mut self.journal);
         self.pool = pool;
         self.rebooting = Some(now + duration);
     }
