--- a/crates/ctl/src/commands/config.rs
+++ b/crates/ctl/src/commands/config.rs
@@ -76,7 +76,7 @@
         return unchanged(running.version, context);
     }
     check_base(base, running.version, context)?;
-    if !context.json {
+    if !context.json && !changes.is_empty() {
         show(running.version, &changes, context)?;
     }
     if !confirmed && !context.console.confirm(&format!("Apply against version {base}?")) {
--- a/crates/standin/src/options/mod.rs
+++ b/crates/standin/src/options/mod.rs
@@ -119,7 +119,9 @@
     }
 }
 
-fn command() -> clap::Command {
+/// Command line of `rattanfall-standin`.
+#[must_use]
+pub fn command() -> clap::Command {
     clap::Command::new("rattanfall-standin")
         .about("Stand-ins for the platform and the workers")
         .version(env!("CARGO_PKG_VERSION"))
