--- a/crates/standin/src/options/mod.rs
+++ b/crates/standin/src/options/mod.rs
@@ -132,15 +132,15 @@
     let defaults = PlatformOptions::default();
     clap::Command::new("platform")
         .about("Log service and list of instances")
-        .arg(setting("listen", "RATTANFALL_PLATFORM_LISTEN", "Address to listen on", "127.0.0.1:7000"))
-        .arg(setting("retention", "RATTANFALL_RETENTION", "Log entries that are kept", defaults.retention))
+        .arg(setting("listen", "RATTANFALL_STANDIN_LISTEN", "Address to listen on", "127.0.0.1:7000"))
+        .arg(setting("retention", "RATTANFALL_STANDIN_RETENTION", "Log entries that are kept", defaults.retention))
         .arg(setting(
             "append-rate",
-            "RATTANFALL_APPEND_RATE",
+            "RATTANFALL_STANDIN_APPEND_RATE",
             "Appends accepted in a second",
             defaults.append_rate,
         ))
-        .arg(setting("list-lag-ms", "RATTANFALL_LIST_LAG_MS", "Lag of the list, in ms", defaults.list_lag_ms))
+        .arg(setting("list-lag-ms", "RATTANFALL_STANDIN_LIST_LAG_MS", "Lag of the list, in ms", defaults.list_lag_ms))
         .mut_arg("listen", |arg| arg.value_parser(value_parser!(SocketAddr)))
         .mut_arg("retention", |arg| arg.value_parser(value_parser!(usize)))
         .mut_arg("append-rate", |arg| arg.value_parser(value_parser!(u32)))
@@ -151,18 +151,18 @@
     let defaults = WorkerOptions::default();
     clap::Command::new("worker")
         .about("Workers on consecutive ports")
-        .arg(setting("ip", "RATTANFALL_WORKER_IP", "IP address to listen on", defaults.ip))
-        .arg(setting("port", "RATTANFALL_WORKER_PORT", "Port of the first worker; 0: any", 7100))
-        .arg(setting("count", "RATTANFALL_WORKER_COUNT", "Workers in this process", defaults.count))
-        .arg(setting("name", "RATTANFALL_WORKER_NAME", "Names are this and a number", defaults.name))
-        .arg(setting("zone", "RATTANFALL_ZONE", "Availability zone", defaults.zone))
-        .arg(setting("rack", "RATTANFALL_RACK", "Racks are this and a number", defaults.rack))
-        .arg(setting("rack-size", "RATTANFALL_RACK_SIZE", "Workers in one rack", defaults.rack_size))
-        .arg(setting("pool", "RATTANFALL_POOL", "Pool", defaults.pool))
-        .arg(setting("slots", "RATTANFALL_SLOTS", "Work that a worker runs at once", defaults.slots))
-        .arg(setting("lease-ms", "RATTANFALL_LEASE_MS", "Lease time, in ms", defaults.lease_ms))
-        .arg(setting("reboot-ms", "RATTANFALL_REBOOT_MS", "Duration of a reboot, in ms", defaults.reboot_ms))
-        .arg(setting("journal", "RATTANFALL_JOURNAL", "Starts kept per worker", defaults.journal))
+        .arg(setting("ip", "RATTANFALL_STANDIN_WORKER_IP", "IP address to listen on", defaults.ip))
+        .arg(setting("port", "RATTANFALL_STANDIN_WORKER_PORT", "Port of the first worker; 0: any", 7100))
+        .arg(setting("count", "RATTANFALL_STANDIN_WORKER_COUNT", "Workers in this process", defaults.count))
+        .arg(setting("name", "RATTANFALL_STANDIN_WORKER_NAME", "Names are this and a number", defaults.name))
+        .arg(setting("zone", "RATTANFALL_STANDIN_ZONE", "Availability zone", defaults.zone))
+        .arg(setting("rack", "RATTANFALL_STANDIN_RACK", "Racks are this and a number", defaults.rack))
+        .arg(setting("rack-size", "RATTANFALL_STANDIN_RACK_SIZE", "Workers in one rack", defaults.rack_size))
+        .arg(setting("pool", "RATTANFALL_STANDIN_POOL", "Pool", defaults.pool))
+        .arg(setting("slots", "RATTANFALL_STANDIN_SLOTS", "Work that a worker runs at once", defaults.slots))
+        .arg(setting("lease-ms", "RATTANFALL_STANDIN_LEASE_MS", "Lease time, in ms", defaults.lease_ms))
+        .arg(setting("reboot-ms", "RATTANFALL_STANDIN_REBOOT_MS", "Duration of a reboot, in ms", defaults.reboot_ms))
+        .arg(setting("journal", "RATTANFALL_STANDIN_JOURNAL", "Starts kept per worker", defaults.journal))
         .arg(
             Arg::new("platform")
                 .long("platform")
