--- a/crates/core/src/engine/systems/log.rs
+++ b/crates/core/src/engine/systems/log.rs
@@ -34,7 +34,7 @@
     /// Passes over an entry that does not decode. All replicas see the same bytes, so all pass over it.
     pub(in crate::engine) fn pass_corrupt(&mut self, offset: Offset) {
         self.counters.corrupt_entries += 1;
-        self.fleet.pass(offset);
+        self.fleet.skip(offset);
     }
 
     /// Takes a state with a higher offset in place of the own one.
--- a/crates/core/src/engine/systems/task_reports.rs
+++ b/crates/core/src/engine/systems/task_reports.rs
@@ -175,15 +175,16 @@
         let Some(task) = self.fleet.tasks.get(&id) else {
             return;
         };
-        let resumable = task.idempotent || task.cancelled || checkpoint.is_some();
-        if !resumable {
+        if task.cancelled {
+            self.end_task(now, id, TaskOutcome::Cancelled);
+        } else if let Some(checkpoint) = checkpoint {
+            self.runs.checkpoints.insert(id, checkpoint);
+            self.requeue(now, id, StopProof::Checkpointed);
+        } else if task.idempotent {
+            self.requeue(now, id, StopProof::Stopped);
+        } else {
             let reason = "the task was stopped without a checkpoint and may not run twice";
             self.end_task(now, id, TaskOutcome::Failed(reason.into()));
-            return;
-        }
-        if let Some(checkpoint) = checkpoint {
-            self.runs.checkpoints.insert(id, checkpoint);
         }
-        self.requeue(now, id, StopProof::Stopped);
     }
 }
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -275,8 +275,10 @@
     Refused,
     /// The worker says that it never started the attempt, and every lease for it has lapsed.
     NeverStarted,
-    /// The worker reports that the attempt stopped, and may have kept a checkpoint.
+    /// The worker reports that the attempt stopped.
     Stopped,
+    /// The worker reports that the attempt stopped and returned a checkpoint from which the next one goes on.
+    Checkpointed,
     /// The worker reports that the attempt failed.
     Failed,
     /// The worker is lost; allowed for idempotent tasks only.
--- /dev/null
+++ b/crates/ctl/tests/help.rs
@@ -0,0 +1,28 @@
+//! Help texts.
+
+mod support;
+
+use insta::assert_snapshot;
+use rattanctl::{Exit, args};
+use rstest::rstest;
+use support::run;
+
+/// Guards against unnoticed changes of the interface that scripts and people depend on.
+#[rstest]
+#[case::root("help", &["--help"])]
+#[case::validate("help_validate", &["validate", "--help"])]
+#[case::apply("help_apply", &["apply", "--help"])]
+#[case::keys("help_keys", &["keys", "--help"])]
+#[case::zones("help_zones", &["zones", "remove", "--help"])]
+#[case::workers("help_workers", &["workers", "move", "--help"])]
+fn help(#[case] name: &str, #[case] args: &[&str]) {
+    let ran = run(args, "");
+    assert_eq!(ran.exit, Exit::Ok);
+    assert_snapshot!(name, ran.out);
+}
+
+/// Guards against a declaration of arguments that clap finds inconsistent only when a command is used.
+#[test]
+fn arguments_are_consistent() {
+    args::command().debug_assert();
+}
