Measure closeness to the share owed over windows of full load; keep held connections in use on request

The report compared shares over the whole run only, where all work ends in time and every team gets what it asks for. It now looks at each 10 s in which more work was asked for than done, backlog included, and names the worst one.

--- a/crates/load/src/idle/mod.rs
+++ b/crates/load/src/idle/mod.rs
@@ -1,4 +1,4 @@
-//! Many idle open connections, held during the load.
+//! Many open connections, held during the load: idle, or with a small request now and then.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,19 +6,21 @@
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-/// Connections that are opened at the same moment, so that the listener's queue does not overflow.
-const OPEN_AT_ONCE: usize = 200;
+/// Connections that are opened or probed at the same moment, so that the listener's queue does not overflow.
+const AT_ONCE: usize = 200;
 /// Longest wait for one connection or answer.
 const LIMIT: Duration = Duration::from_secs(10);
 
 /// Held connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Idle {
-    streams: Vec<TcpStream>,
+    holders: JoinSet<bool>,
     refused: u32,
+    stop: watch::Sender<bool>,
 }
 
 /// What became of the held connections.
@@ -28,20 +30,24 @@
     pub opened: u32,
     /// Connections that could not be opened.
     pub refused: u32,
-    /// Connections that still answered a request at the end.
+    /// Connections that answered every request, and one at the end.
     pub answered: u32,
 }
 
 impl Idle {
     /// Opens connections, spread evenly over the addresses.
-    pub async fn open(addresses: &[Arc<str>], count: u32) -> Self {
-        let mut idle = Self::default();
+    pub async fn open(addresses: &[Arc<str>], count: u32, refresh: Option<Duration>) -> Self {
+        let permits = Arc::new(Semaphore::new(AT_ONCE));
+        let mut idle = Self { holders: JoinSet::new(), refused: 0, stop: watch::Sender::new(false) };
         let targets: Vec<Arc<str>> = addresses.iter().cycle().take(count as usize).cloned().collect();
-        for chunk in targets.chunks(OPEN_AT_ONCE) {
+        for chunk in targets.chunks(AT_ONCE) {
             let connects: JoinSet<_> = chunk.iter().cloned().map(connect).collect();
             for stream in connects.join_all().await {
                 match stream {
-                    Some(stream) => idle.streams.push(stream),
+                    Some(stream) => {
+                        let holder = hold(stream, refresh, idle.stop.subscribe(), permits.clone());
+                        idle.holders.spawn(holder);
+                    }
                     None => idle.refused += 1,
                 }
             }
@@ -49,15 +55,11 @@
         idle
     }
 
-    /// Sends one request on each connection and closes all.
+    /// Sends a last request on each connection and closes all.
     pub async fn close(self) -> IdleReport {
-        let opened = u32::try_from(self.streams.len()).unwrap_or(u32::MAX);
-        let mut answered = 0;
-        let mut streams = self.streams.into_iter().peekable();
-        while streams.peek().is_some() {
-            let probes: JoinSet<_> = streams.by_ref().take(OPEN_AT_ONCE).map(probe).collect();
-            answered += probes.join_all().await.into_iter().map(u32::from).sum::<u32>();
-        }
+        self.stop.send_replace(true);
+        let opened = u32::try_from(self.holders.len()).unwrap_or(u32::MAX);
+        let answered = self.holders.join_all().await.into_iter().map(u32::from).sum();
         IdleReport { opened, refused: self.refused, answered }
     }
 }
@@ -66,11 +68,31 @@
     timeout(LIMIT, TcpStream::connect(&*address)).await.ok()?.ok()
 }
 
+async fn hold(
+    mut stream: TcpStream,
+    refresh: Option<Duration>,
+    mut stop: watch::Receiver<bool>,
+    permits: Arc<Semaphore>,
+) -> bool {
+    if let Some(refresh) = refresh {
+        while timeout(refresh, stop.changed()).await.is_err() {
+            if !probe(&mut stream).await {
+                return false;
+            }
+        }
+    } else {
+        // The sender lives until `close`.
+        let _ = stop.changed().await;
+    }
+    let _permit = permits.acquire().await;
+    probe(&mut stream).await
+}
+
 // Any answer will do: it shows that the instance still serves the connection.
-async fn probe(mut stream: TcpStream) -> bool {
+async fn probe(stream: &mut TcpStream) -> bool {
     let exchange = async {
         stream.write_all(b"GET /v1/tasks/none HTTP/1.1\r\nhost: entry\r\n\r\n").await?;
-        stream.read(&mut [0; 64]).await
+        stream.read(&mut [0; 4096]).await
     };
     matches!(timeout(LIMIT, exchange).await, Ok(Ok(read)) if read > 0)
 }
--- a/crates/load/src/options/mod.rs
+++ b/crates/load/src/options/mod.rs
@@ -29,6 +29,8 @@
     pub closed: u32,
     /// Idle connections to hold.
     pub connections: u32,
+    /// Time between two requests on a held connection; `None` to leave it idle.
+    pub refresh: Option<Duration>,
     /// True to run the same load straight to the workers first.
     pub direct: bool,
     /// True if entry instances are killed on purpose.
@@ -80,7 +82,7 @@
     ]
 }
 
-fn load_args() -> [Arg; 10] {
+fn load_args() -> [Arg; 11] {
     [
         Arg::new("flow").long("flow").required(true).action(ArgAction::Append).help(
             "team=,pool=,rate= and any of key=,share=,class=urgent|normal|batch,pattern=steady|waves,\
@@ -96,6 +98,12 @@
             .value_parser(value_parser!(u32)),
         number("connections", "RATTANFALL_LOAD_CONNECTIONS", "Idle connections to hold", "0")
             .value_parser(value_parser!(u32)),
+        number(
+            "refresh-s",
+            "RATTANFALL_LOAD_REFRESH_S",
+            "Seconds between requests on a held connection; 0: idle",
+            "0",
+        ),
         number("threads", "RATTANFALL_LOAD_THREADS", "Threads that send", "2"),
         Arg::new("tolerate-cuts")
             .long("tolerate-cuts")
@@ -137,6 +145,7 @@
         seed: value(matches, "seed"),
         closed: value(matches, "closed"),
         connections: value(matches, "connections"),
+        refresh: Some(seconds("refresh-s")).filter(|time| !time.is_zero()),
         direct: matches.get_flag("direct"),
         tolerate_cuts: matches.get_flag("tolerate-cuts"),
         threads: usize::try_from(value::<u64>(matches, "threads")).unwrap_or(1).max(1),
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -16,7 +16,7 @@
 use crate::flow::Flow;
 use crate::idle::IdleReport;
 use crate::send::Breach;
-use crate::share::{Claim, owed};
+use crate::share::{Claim, Closeness, Seconds, closeness, owed};
 use crate::tally::{Row, Tally};
 
 /// Report of a run.
@@ -32,6 +32,8 @@
     pub rows: Vec<RowReport>,
     /// Teams.
     pub teams: Vec<TeamReport>,
+    /// Closeness to the share owed over windows of full load.
+    pub closeness: Closeness,
     /// Broken promises, by kind.
     pub breaches: BTreeMap<Breach, u64>,
     /// Audit; absent if no platform is named.
@@ -96,9 +98,9 @@
 }
 
 impl Report {
-    /// Report of a run's sums.
+    /// Report of a run's sums. The load lasted for `load_seconds`.
     #[must_use]
-    pub fn new(tally: &Tally, flows: &[Flow], audit: Option<Audit>) -> Self {
+    pub fn new(tally: &Tally, flows: &[Flow], load_seconds: usize, audit: Option<Audit>) -> Self {
         let seconds = tally.elapsed.as_secs_f64();
         let per_second = |sum: f64| if seconds > 0.0 { sum / seconds } else { 0.0 };
         let done: u64 = tally.rows.values().map(|row| row.done).sum();
@@ -109,6 +111,7 @@
             slots_used: per_second(done_ms as f64 / 1_000.0),
             rows: tally.rows.iter().map(|((team, class), row)| row_report(team, class, row)).collect(),
             teams: teams(tally, flows, audit.as_ref()),
+            closeness: windows(tally, flows, load_seconds),
             breaches: tally.breaches.clone(),
             audit,
             idle: None,
@@ -155,8 +158,19 @@
     micros as f64 / 1_000.0
 }
 
+fn weights(flows: &[Flow]) -> BTreeMap<&str, u32> {
+    flows.iter().map(|flow| (&*flow.team, flow.share)).collect()
+}
+
+fn windows(tally: &Tally, flows: &[Flow], load_seconds: usize) -> Closeness {
+    let none = Seconds::default();
+    let seconds = |team: &str| tally.seconds.get(team).unwrap_or(&none);
+    let teams = weights(flows).into_iter().map(|(team, weight)| (weight, seconds(team)));
+    closeness(&teams.collect::<Vec<_>>(), load_seconds)
+}
+
 fn teams(tally: &Tally, flows: &[Flow], audit: Option<&Audit>) -> Vec<TeamReport> {
-    let weights: BTreeMap<&str, u32> = flows.iter().map(|flow| (&*flow.team, flow.share)).collect();
+    let weights = weights(flows);
     let sum = |team: &str, value: fn(&Row) -> u64| -> f64 {
         let rows = tally.rows.iter().filter(|((name, _), _)| &**name == team);
         rows.map(|(_, row)| value(row)).sum::<u64>() as f64
@@ -175,7 +189,7 @@
         held: part(*done),
         owed: part(*owed),
         peak: audit.and_then(|audit| audit.peaks.get(*team).copied()),
-        done_ms: tally.series.get(*team).cloned().unwrap_or_default(),
+        done_ms: tally.seconds.get(*team).map_or_else(Vec::new, |seconds| seconds.done.clone()),
     })
     .collect()
 }
--- a/crates/load/src/report/table.rs
+++ b/crates/load/src/report/table.rs
@@ -6,6 +6,7 @@
 use comfy_table::{CellAlignment, Table};
 
 use super::{Comparison, Report, RowReport, TeamReport};
+use crate::share::WINDOW_S;
 
 /// Renders a report.
 #[must_use]
@@ -56,6 +57,7 @@
         "{:.1} s, {:.1} done per second, {:.1} slots used on average",
         report.seconds, report.done_per_second, report.slots_used
     )];
+    lines.push(share_line(report));
     if let Some(idle) = report.idle {
         let (opened, refused, answered) = (idle.opened, idle.refused, idle.answered);
         lines.push(format!(
@@ -65,6 +67,20 @@
     lines.join("\n")
 }
 
+fn share_line(report: &Report) -> String {
+    let closeness = report.closeness;
+    if closeness.windows == 0 {
+        return format!("shares: no {WINDOW_S} s of full load");
+    }
+    let team = report.teams.get(closeness.team).map_or("", |team| &team.team);
+    format!(
+        "shares: {} windows of {WINDOW_S} s of full load, at worst {:.1}% of the work off the share owed ({team}, from {} s)",
+        closeness.windows,
+        closeness.worst * 100.0,
+        closeness.second
+    )
+}
+
 fn comparison(direct: &Comparison) -> String {
     let mut table = table(&["", "entry ms", "direct ms", "added ms", "ratio"]);
     let lines = [
--- a/crates/load/src/run/mod.rs
+++ b/crates/load/src/run/mod.rs
@@ -41,7 +41,7 @@
         }
         _ => None,
     };
-    let idle = Idle::open(&options.entries, options.connections).await;
+    let idle = Idle::open(&options.entries, options.connections, options.refresh).await;
     let (mut tally, prefix) = drive(options, &flows, Mode::Entries(options.entries.clone())).await?;
     let idle = idle.close().await;
     let audit = match (&before, workers(options).await?) {
@@ -52,7 +52,8 @@
         }
         _ => None,
     };
-    let mut report = Report::new(&tally, &flows, audit);
+    let load_seconds = usize::try_from(options.duration.as_secs()).unwrap_or(usize::MAX - 1);
+    let mut report = Report::new(&tally, &flows, load_seconds, audit);
     report.idle = (options.connections > 0).then_some(idle);
     report.direct = direct.map(|direct| Comparison::new(&tally, &direct));
     Ok(report)
--- a/crates/load/src/share/mod.rs
+++ b/crates/load/src/share/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Computed independently of the entry instances' own allocation, so that the report can find errors in it.
 
+mod window;
+
+pub use window::{Closeness, Seconds, WINDOW_S, closeness};
+
 /// Weight and demand of one team.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Claim {
--- a/crates/load/src/tally/mod.rs
+++ b/crates/load/src/tally/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::flow::{Flow, Order};
 use crate::send::{Breach, Ended, Outcome};
+use crate::share::Seconds;
 
 /// Longest latency that a histogram holds, in microseconds.
 const LATENCY_LIMIT_US: u64 = 600_000_000;
@@ -54,8 +55,8 @@
     pub breaches: BTreeMap<Breach, u64>,
     /// Traces by number.
     pub traces: BTreeMap<u64, Trace>,
-    /// Duration of the work done per team in each second of the run, in milliseconds.
-    pub series: BTreeMap<Arc<str>, Vec<u64>>,
+    /// Work of each team in each second of the run.
+    pub seconds: BTreeMap<Arc<str>, Seconds>,
     /// Time of the last end.
     pub elapsed: Duration,
 }
@@ -91,7 +92,6 @@
                 row.done += 1;
                 row.done_ms += u64::from(order.work_ms);
                 row.latency.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
-                self.add_second(&flow.team, at, order.work_ms);
             }
             Outcome::Done { failed: true } => {
                 row.done += 1;
@@ -101,6 +101,12 @@
             Outcome::Unknown(reason) => *row.unknown.entry(reason.to_string()).or_default() += 1,
             Outcome::Broken(breach) => self.add_breach(*breach),
         }
+        let seconds = self.seconds.entry(flow.team.clone()).or_default();
+        Seconds::add(&mut seconds.sent, at.saturating_sub(latency).as_secs(), order.work_ms);
+        Seconds::add(&mut seconds.ended, at.as_secs(), order.work_ms);
+        if outcome == (Outcome::Done { failed: false }) {
+            Seconds::add(&mut seconds.done, at.as_secs(), order.work_ms);
+        }
         self.elapsed = self.elapsed.max(at);
         self.traces.insert(order.number, Trace { order, outcome });
     }
@@ -121,13 +127,4 @@
         }
         all
     }
-
-    fn add_second(&mut self, team: &Arc<str>, at: Duration, work_ms: u32) {
-        let seconds = self.series.entry(team.clone()).or_default();
-        let second = usize::try_from(at.as_secs()).unwrap_or(usize::MAX);
-        if seconds.len() <= second {
-            seconds.resize(second + 1, 0);
-        }
-        seconds[second] += u64::from(work_ms);
-    }
 }
--- a/crates/load/tests/checks.rs
+++ b/crates/load/tests/checks.rs
@@ -4,7 +4,7 @@
 use rattanfall_load::audit::{RunEnd, Start, breach};
 use rattanfall_load::flow::Order;
 use rattanfall_load::send::{Breach, Outcome, verify};
-use rattanfall_load::share::{Claim, owed};
+use rattanfall_load::share::{Claim, Seconds, WINDOW_S, closeness, owed};
 use rattanfall_load::tally::Trace;
 use rstest::rstest;
 
@@ -73,3 +73,32 @@
     let claims: Vec<Claim> = claims.iter().map(|&(weight, demand)| Claim { weight, demand }).collect();
     assert_eq!(owed(&claims, capacity), expected);
 }
+
+/// Guards against a distance that ignores a backlog from before the window or counts windows with free capacity.
+#[rstest]
+#[case::by_weight([3, 1], [30, 30], [30, 10], 0.0, 1)]
+#[case::off([3, 1], [30, 30], [20, 20], 0.25, 1)]
+#[case::not_full([3, 1], [30, 10], [30, 10], 0.0, 0)]
+fn the_distance_counts_windows_of_full_load(
+    #[case] weights: [u32; 2],
+    #[case] sent: [u64; 2],
+    #[case] done: [u64; 2],
+    #[case] worst: f64,
+    #[case] windows: usize,
+) {
+    let team = |index: usize| Seconds {
+        sent: vec![sent[index]; WINDOW_S],
+        ended: vec![done[index]; WINDOW_S],
+        done: vec![done[index]; WINDOW_S],
+    };
+    let teams = [team(0), team(1)];
+    let found = closeness(&[(weights[0], &teams[0]), (weights[1], &teams[1])], WINDOW_S);
+    assert_eq!((found.worst, found.windows), (worst, windows));
+}
+
+/// Guards against a window that takes work sent earlier as no demand.
+#[rstest]
+fn a_backlog_is_demand() {
+    let work = Seconds { sent: vec![1_000], ended: vec![10; WINDOW_S + 1], done: vec![10; WINDOW_S + 1] };
+    assert_eq!(closeness(&[(1, &work)], WINDOW_S + 1).windows, 2);
+}
