Measure closeness to share and make quotas add up to the capacity

Cause: rounding each team's target alone, and splitting it by demand that only the own instance knows, let instances together exceed the capacity; those that held slots kept them. Change: quotas() shares the whole capacity out by the targets; members split a waiting team's quota by the demand last sent; deficits are paid back over 0.7 s.

--- a/crates/core/src/share/mod.rs
+++ b/crates/core/src/share/mod.rs
@@ -10,4 +10,4 @@
 
 pub use allocation::{Demand, allocate, entitlement, part, parts};
 pub use fairness::{distance, jain};
-pub use usage::{Candidate, TIME_CONSTANT_MS, Usage, next_team, quota};
+pub use usage::{Candidate, TIME_CONSTANT_MS, Usage, next_team, quotas};
--- a/crates/core/src/share/usage.rs
+++ b/crates/core/src/share/usage.rs
@@ -1,16 +1,21 @@
 //! Decayed use and the choice of the next team.
 
+use super::allocation::{Demand, allocate};
+
 /// Time constant of the decay, in milliseconds: the window over which closeness to share is measured.
 pub const TIME_CONSTANT_MS: f64 = 10_000.0;
 
-/// Time over which a deficit is paid back, in milliseconds. Several digest intervals (250 ms), so that the correction
-/// does not oscillate on old sums, and a small part of the 10 s window in which shares are measured.
-const RECOVERY_MS: f64 = 2_000.0;
+/// Time over which a deficit is paid back, in milliseconds. With 1,000 and more, teams of few slots keep a steady error;
+/// with 500, single windows are worse, because sums are up to one digest interval (250 ms) old.
+const RECOVERY_MS: f64 = 700.0;
 
 /// Part of its allocation that a team may run above or below it to settle a deficit. Bounds both the credit that an
 /// unlucky team saves up and the debt of a team that ran more than its share.
 const CREDIT: f64 = 0.25;
 
+/// Parts of a slot in the weights of targets; finer than any target that matters.
+const PARTS: f64 = 1_024.0;
+
 /// Exponentially decayed use, in slot-seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -46,6 +51,8 @@
 pub struct Candidate {
     /// Slots that the team is owed now, from [`entitlement`](super::entitlement).
     pub owed_now: f64,
+    /// Slots that the team can use: running and waiting work, at most its upper limit.
+    pub usable: u32,
     /// Slots in use now.
     pub running: u32,
     /// Decayed entitlement, in slot-seconds: a [`Usage`] advanced with `owed_now`.
@@ -78,17 +85,24 @@
     keys.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
 }
 
-/// Slots that a team may run now over the fleet while others wait: its target in whole slots, at most `usable`. Split
-/// it over the members with [`part`](super::part).
+/// Slots that each team may run now over the fleet: the targets in whole slots. The sum is the capacity or all that can
+/// be used, whichever is less: if quotas added up to more, instances that hold slots would keep them and the others
+/// would never get theirs. Split a quota over the members with [`part`](super::part).
 #[must_use]
-pub fn quota(candidate: &Candidate, usable: u32) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the value is clamped to the range of u32"
-    )]
-    let target = candidate.target().round().clamp(0.0, f64::from(u32::MAX)) as u32;
-    target.min(usable)
+pub fn quotas(capacity: u32, teams: &[Candidate]) -> Vec<u32> {
+    let demand = |team: &Candidate| Demand { share: weight(team), demand: team.usable, limit: u32::MAX };
+    let demands: Vec<Demand> = teams.iter().map(demand).collect();
+    allocate(capacity, &demands)
+}
+
+/// Target as a weight in parts of a slot.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of u32"
+)]
+fn weight(team: &Candidate) -> u32 {
+    (team.target() * PARTS).clamp(0.0, f64::from(u32::MAX)) as u32
 }
 
 #[expect(clippy::cast_precision_loss, reason = "elapsed milliseconds are far below 2^52")]
