--- a/crates/core/examples/policies/main.rs
+++ b/crates/core/examples/policies/main.rs
@@ -9,6 +9,8 @@
     reason = "figures of a simulation are small and positive"
 )]
 
+#[expect(unreachable_pub, reason = "shared with the tests")]
+mod ejection;
 #[expect(unreachable_pub, reason = "shared with the tests")]
 mod share;
 
@@ -20,6 +22,9 @@
     if is_wanted("share") {
         share_table();
     }
+    if is_wanted("ejection") {
+        ejection_table();
+    }
 }
 
 fn share_table() {
@@ -48,3 +53,32 @@
         }
     }
 }
+
+fn ejection_table() {
+    println!("ejection: worst over {SEEDS:?}; wrong ejections are summed");
+    println!(
+        "{:12} {:8} {:>8} {:>10} {:>6} {:>5} {:>10}",
+        "fault", "rule", "failed", "first", "wrong", "most", "back"
+    );
+    for fault in ejection::FAULTS {
+        for (name, rule) in [
+            ("never", ejection::Rule::Never),
+            ("streak", ejection::Rule::Streak),
+            ("compare", ejection::Rule::Compare),
+        ] {
+            let mut all = ejection::Figures::default();
+            for seed in SEEDS {
+                all.worsen(&ejection::simulate(rule, fault, seed));
+            }
+            let first = all.first_ms.map_or_else(|| "-".into(), |ms| format!("{ms} ms"));
+            println!(
+                "{:12} {name:8} {:>7.1}% {first:>10} {:>6} {:>5} {:>7} ms",
+                fault.name,
+                all.failed * 100.0,
+                all.wrong,
+                all.most,
+                all.back_ms
+            );
+        }
+    }
+}
--- a/crates/core/src/policy/judgement/mod.rs
+++ b/crates/core/src/policy/judgement/mod.rs
@@ -28,8 +28,12 @@
 /// First wait until a probe, in milliseconds.
 const FIRST_BACKOFF_MS: u64 = 2_000;
 
-/// Longest wait until a probe, in milliseconds.
-const BACKOFF_CAP_MS: u64 = 64_000;
+/// Longest wait until a probe, in milliseconds. A probe costs one piece of work on a bad worker; the cap bounds how
+/// long a repaired worker stays out.
+const BACKOFF_CAP_MS: u64 = 16_000;
+
+/// Time after a return in which a new ejection doubles the backoff, in milliseconds.
+const RELAPSE_MS: u64 = 60_000;
 
 /// Successful probes in a row after which a worker is readmitted. One success is not evidence for a worker that
 /// fails half of its work.
@@ -142,13 +146,25 @@
         self.rows.iter().filter(|(_, row)| row.ejection.is_some()).map(|(worker, _)| *worker)
     }
 
-    /// Workers that fail more than the margin above what their peers had with the same teams.
+    /// Workers that fail more than the margin above what their peers had with the same teams, in the last seconds or in
+    /// the whole window. The short span finds a sudden failure before the successes before it have expired; the long one
+    /// finds workers with little work.
     fn suspects(&mut self, now: Millis) -> Vec<(WorkerId, f64)> {
-        let mut tallies = BTreeMap::new();
-        for (worker, row) in &mut self.rows {
+        for row in self.rows.values_mut() {
             row.window.expire(now);
-            tallies.insert(*worker, row.window.tally());
         }
+        let mut suspects = self.suspects_within(now, window::SHORT);
+        for (worker, excess) in self.suspects_within(now, window::BUCKETS) {
+            if suspects.iter().all(|(known, _)| *known != worker) {
+                suspects.push((worker, excess));
+            }
+        }
+        suspects
+    }
+
+    fn suspects_within(&self, now: Millis, buckets: u64) -> Vec<(WorkerId, f64)> {
+        let tally = |row: &Row| row.window.tally(now, buckets);
+        let tallies: BTreeMap<WorkerId, Tally> = self.rows.iter().map(|(w, row)| (*w, tally(row))).collect();
         let medians = medians(&tallies);
         let open = tallies.iter().filter(|(worker, _)| self.admission(now, **worker) == Admission::Open);
         let excesses = open.filter_map(|(worker, tally)| Some((*worker, excess(tally, &medians)?)));
@@ -157,7 +173,7 @@
 
     fn eject(&mut self, now: Millis, worker: WorkerId, excess: f64) {
         let row = self.rows.entry(worker).or_default();
-        let again = row.last.filter(|(backoff, end)| now.since(*end) < BACKOFF_CAP_MS.max(*backoff));
+        let again = row.last.filter(|(_, end)| now.since(*end) < RELAPSE_MS);
         let backoff_ms = again.map_or(FIRST_BACKOFF_MS, |(backoff, _)| (backoff * 2).min(BACKOFF_CAP_MS));
         let next_probe = now.plus(backoff_ms);
         row.ejection = Some(Ejection { excess, backoff_ms, next_probe, probing: false, successes: 0 });
--- a/crates/core/src/policy/judgement/window.rs
+++ b/crates/core/src/policy/judgement/window.rs
@@ -10,7 +10,10 @@
 const BUCKET_MS: u64 = 1_000;
 
 /// Buckets of a window: outcomes of the last 10 s count.
-const BUCKETS: u64 = 10;
+pub(super) const BUCKETS: u64 = 10;
+
+/// Buckets of the short span, the current one included.
+pub(super) const SHORT: u64 = 2;
 
 /// Failed jobs whose identity is remembered. Bounds the memory of a worker that fails at once; so many distinct jobs
 /// are evidence enough, and failures beyond count without a check for repetition.
@@ -72,10 +75,12 @@
         }
     }
 
-    /// Counts per team.
-    pub(super) fn tally(&self) -> BTreeMap<TeamId, Count> {
+    /// Counts per team over the newest buckets.
+    pub(super) fn tally(&self, now: Millis, buckets: u64) -> BTreeMap<TeamId, Count> {
+        let number = now.0 / BUCKET_MS;
+        let recent = self.buckets.iter().filter(|bucket| bucket.number + buckets > number);
         let mut tally: BTreeMap<TeamId, Count> = BTreeMap::new();
-        for (team, count) in self.buckets.iter().flat_map(|bucket| &bucket.counts) {
+        for (team, count) in recent.flat_map(|bucket| &bucket.counts) {
             let sum = tally.entry(*team).or_default();
             sum.jobs += count.jobs;
             sum.failed += count.failed;
--- /dev/null
+++ b/crates/core/tests/policy_judgement.rs
@@ -0,0 +1,114 @@
+//! Ejection of workers by comparison with their peers.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures of a simulation are small"
+)]
+
+#[expect(unreachable_pub, dead_code, reason = "shared with the example")]
+#[path = "../examples/policies/ejection.rs"]
+mod simulation;
+
+use rattanfall_core::engine::Millis;
+use rattanfall_core::ids::{TeamId, WorkerId};
+use rattanfall_core::policy::judgement::{Admission, Judgement, Outcome};
+use rstest::rstest;
+use simulation::{FAULTS, Figures, Rule, simulate};
+
+fn worst(rule: Rule, fault: usize) -> Figures {
+    let mut all = Figures::default();
+    for seed in 1..6 {
+        all.worsen(&simulate(rule, FAULTS[fault], seed));
+    }
+    all
+}
+
+fn pool() -> Vec<WorkerId> {
+    (0..10).map(WorkerId).collect()
+}
+
+/// Ten workers with ten jobs of each of three teams; `failed` tells which outcomes are failures.
+fn judged(failed: impl Fn(u32, u32) -> bool) -> Judgement {
+    let mut judgement = Judgement::new(30);
+    for worker in 0..10 {
+        for job in 0..30 {
+            let team = job % 3;
+            let outcome = Outcome { team: TeamId(team), job: u64::from(job), failed: failed(worker, team) };
+            judgement.record(Millis(0), WorkerId(worker), outcome);
+        }
+    }
+    judgement
+}
+
+/// Guards against a worker that fails at once and takes ever more work.
+#[rstest]
+#[case::one_worker(0)]
+#[case::two_workers(1)]
+#[case::two_half_bad(2)]
+fn bad_workers_are_ejected_and_good_ones_are_not(#[case] fault: usize) {
+    let (never, compare) = (worst(Rule::Never, fault), worst(Rule::Compare, fault));
+    assert!(compare.first_ms.is_some() && compare.wrong == 0, "{compare:?}");
+    assert!(compare.failed < never.failed / 2.0, "{compare:?} {never:?}");
+}
+
+/// Guards against ejection beyond 30 percent of a pool.
+#[test]
+fn at_most_three_of_ten_are_ejected() {
+    assert_eq!(worst(Rule::Compare, 3).most, 3);
+}
+
+/// Guards against good workers that are ejected for a team's bad jobs or a failure of the whole pool.
+#[rstest]
+#[case::one_team(4)]
+#[case::whole_pool(5)]
+fn failures_that_are_not_the_workers_eject_nobody(#[case] fault: usize) {
+    assert_eq!(worst(Rule::Compare, fault).wrong, 0);
+}
+
+/// Guards against a job that is retried on one worker and looks like many failures.
+#[test]
+fn a_repeated_job_counts_once() {
+    let mut judgement = judged(|_, _| false);
+    for _ in 0..200 {
+        judgement.record(Millis(0), WorkerId(0), Outcome { team: TeamId(0), job: 99, failed: true });
+    }
+    assert!(judgement.assess(Millis(50), &pool()).is_empty());
+}
+
+/// Guards against an ejection on the word of one team while others run well on the worker.
+#[test]
+fn one_team_alone_does_not_eject() {
+    assert!(judged(|worker, team| worker == 0 && team == 0).assess(Millis(50), &pool()).is_empty());
+    assert_eq!(judged(|worker, team| worker == 0 && team < 2).assess(Millis(50), &pool()), [WorkerId(0)]);
+}
+
+/// Guards against an ejected worker that never returns, and against one that returns after a single success.
+#[test]
+fn probes_readmit_with_exponential_backoff() {
+    let mut judgement = judged(|worker, _| worker == 0);
+    let (worker, probe) = (WorkerId(0), |failed| Outcome { team: TeamId(0), job: 100, failed });
+    judgement.assess(Millis(0), &pool());
+    assert_eq!(judgement.admission(Millis(1_999), worker), Admission::Closed);
+    assert_eq!(judgement.admission(Millis(2_000), worker), Admission::Probe);
+    judgement.record(Millis(2_000), worker, probe(true));
+    assert_eq!(judgement.admission(Millis(2_000), worker), Admission::Probe, "work sent earlier is no probe");
+    judgement.probe(Millis(2_000), worker);
+    judgement.record(Millis(2_100), worker, probe(true));
+    assert_eq!(judgement.admission(Millis(6_099), worker), Admission::Closed);
+    for now in [6_100, 6_200, 6_300] {
+        assert_eq!(judgement.admission(Millis(now), worker), Admission::Probe);
+        judgement.probe(Millis(now), worker);
+        judgement.record(Millis(now), worker, probe(false));
+    }
+    assert_eq!(judgement.admission(Millis(6_300), worker), Admission::Open);
+}
+
+/// Guards against ejections above the cap after the pool became smaller.
+#[test]
+fn a_smaller_pool_readmits() {
+    let mut judgement = judged(|worker, _| worker < 3);
+    assert_eq!(judgement.assess(Millis(0), &pool()).len(), 3);
+    judgement.assess(Millis(50), &pool()[..4]);
+    assert_eq!(judgement.ejected().count(), 1);
+}
