Split each pool by quotas that add up over the members

Cause: rounding each team's target alone let instances together exceed the capacity of a full pool. Change: the engine shares the capacity out by quotas() and splits them by the demand that the last digests said.

--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -32,7 +32,7 @@
 use crate::record::Record;
 use appends::Appends;
 use command::NotRun;
-use event::{List, Submission, TaskSubmission};
+use event::{List, Load, Submission, TaskSubmission};
 use holds::Uses;
 use peers::Peers;
 use requests::Requests;
@@ -122,6 +122,7 @@
     log_end: Option<Millis>,
     last_snapshot: Option<Offset>,
     last_gossip: Millis,
+    sent_loads: Vec<Load>,
     digests: u64,
     tickets: u64,
     tasks: u32,
@@ -160,6 +161,7 @@
             log_end: None,
             last_snapshot: None,
             last_gossip: Millis(0),
+            sent_loads: Vec::new(),
             digests: 0,
             tickets: 0,
             tasks: 0,
--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -4,7 +4,7 @@
 
 use super::Millis;
 use crate::ids::{MemberId, PoolId, TeamId};
-use crate::share::{Candidate, Demand, Usage, entitlement, part, quota};
+use crate::share::{Candidate, Demand, Usage, entitlement, part, quotas};
 
 /// Running and waiting work of a team at one member.
 #[derive(Clone, Copy, Debug, Default)]
@@ -23,6 +23,7 @@
     /// Waiting work of all members.
     waiting: u32,
     owed_now: f64,
+    usable: u32,
     used: Usage,
     owed: Usage,
     /// Slots that this member may use while others wait; none if the pool is not full.
@@ -41,6 +42,9 @@
     pub(super) share: u32,
     pub(super) limit: u32,
     pub(super) members: BTreeMap<MemberId, Sum>,
+    /// Own work as the last digest said. Members split a quota by the figures that all of them know, so that their
+    /// parts add up to it.
+    pub(super) sent: Sum,
 }
 
 impl TeamLoad {
@@ -49,6 +53,14 @@
         self.members.values().fold(Sum::default(), add)
     }
 
+    /// This member's part of a quota.
+    fn own_part(&self, me: MemberId, quota: u32) -> u32 {
+        let known = |(id, sum): (&MemberId, &Sum)| if *id == me { self.sent } else { *sum };
+        let own: Vec<u32> = self.members.iter().map(known).map(|sum| sum.running + sum.waiting).collect();
+        let index = self.members.keys().position(|id| *id == me);
+        index.map_or(0, |index| part(quota, &own, index))
+    }
+
     fn demand(&self) -> Demand {
         let total = self.total();
         Demand { share: self.share, demand: total.running + total.waiting, limit: self.limit }
@@ -71,17 +83,15 @@
     ) {
         let demands: Vec<Demand> = teams.iter().map(TeamLoad::demand).collect();
         let owed = entitlement(capacity, &demands);
+        for ((load, demand), owed_now) in teams.iter().zip(&demands).zip(owed) {
+            self.row(pool, load.team).account(now, me, load, demand.usable(), owed_now);
+        }
         let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
         let full = usable > u64::from(capacity);
-        for ((load, demand), owed_now) in teams.iter().zip(&demands).zip(owed) {
-            let total = load.total();
-            let row = self.row(pool, load.team);
-            row.used.advance(now.0, f64::from(total.running));
-            row.owed.advance(now.0, owed_now);
-            row.owed_now = owed_now;
-            row.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
-            row.waiting = total.waiting;
-            row.part = full.then(|| own_part(row, me, load, demand.usable()));
+        let candidates: Vec<Candidate> = teams.iter().map(|load| self.candidate(pool, load.team)).collect();
+        let quotas = quotas(capacity, &candidates);
+        for (load, quota) in teams.iter().zip(quotas) {
+            self.row(pool, load.team).part = full.then(|| load.own_part(me, quota));
         }
     }
 
@@ -109,9 +119,20 @@
 }
 
 impl Row {
+    fn account(&mut self, now: Millis, me: MemberId, load: &TeamLoad, usable: u32, owed_now: f64) {
+        let total = load.total();
+        self.used.advance(now.0, f64::from(total.running));
+        self.owed.advance(now.0, owed_now);
+        self.owed_now = owed_now;
+        self.usable = usable;
+        self.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
+        self.waiting = total.waiting;
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate {
             owed_now: self.owed_now,
+            usable: self.usable,
             running: self.running + self.peers,
             owed: self.owed.value(),
             used: self.used.value(),
@@ -123,10 +144,3 @@
         self.used.value()
     }
 }
-
-fn own_part(row: &Row, me: MemberId, load: &TeamLoad, usable: u32) -> u32 {
-    let allowed = quota(&row.candidate(), usable);
-    let own: Vec<u32> = load.members.values().map(|sum| sum.running + sum.waiting).collect();
-    let index = load.members.keys().position(|id| *id == me);
-    index.map_or(0, |index| part(allowed, &own, index))
-}
--- a/crates/core/src/engine/systems/gossip.rs
+++ b/crates/core/src/engine/systems/gossip.rs
@@ -20,6 +20,7 @@
         self.last_gossip = now;
         self.digests += 1;
         let digest = self.make_digest(me);
+        self.sent_loads.clone_from(&digest.loads);
         self.emit(Command::Gossip(digest));
     }
 
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -49,10 +49,16 @@
             share: team.share,
             limit: team.limit,
             members: loads.remove(&(pool, *id)).unwrap_or_default(),
+            sent: self.sent_load(pool, *id),
         };
         self.fleet.teams.iter().map(team_load).collect()
     }
 
+    fn sent_load(&self, pool: PoolId, team: TeamId) -> Sum {
+        let sent = self.sent_loads.iter().find(|load| load.pool == pool && load.team == team);
+        sent.map_or_else(Sum::default, |load| Sum { running: load.running, waiting: load.waiting })
+    }
+
     /// Running and waiting work of this member per pool and team.
     pub(super) fn own_loads(&self) -> Vec<Load> {
         let mut keys: Vec<(PoolId, TeamId)> = self.shares.rows.keys().copied().collect();
--- a/crates/standin/src/options/mod.rs
+++ b/crates/standin/src/options/mod.rs
@@ -135,14 +135,24 @@
     clap::Command::new("platform")
         .about("Log service and list of instances")
         .arg(setting("listen", "RATTANFALL_STANDIN_LISTEN", "Address to listen on", "127.0.0.1:7000"))
-        .arg(setting("retention", "RATTANFALL_STANDIN_RETENTION", "Log entries that are kept", defaults.retention))
+        .arg(setting(
+            "retention",
+            "RATTANFALL_STANDIN_RETENTION",
+            "Log entries that are kept",
+            defaults.retention,
+        ))
         .arg(setting(
             "append-rate",
             "RATTANFALL_STANDIN_APPEND_RATE",
             "Appends accepted in a second",
             defaults.append_rate,
         ))
-        .arg(setting("list-lag-ms", "RATTANFALL_STANDIN_LIST_LAG_MS", "Lag of the list, in ms", defaults.list_lag_ms))
+        .arg(setting(
+            "list-lag-ms",
+            "RATTANFALL_STANDIN_LIST_LAG_MS",
+            "Lag of the list, in ms",
+            defaults.list_lag_ms,
+        ))
         .mut_arg("listen", |arg| arg.value_parser(value_parser!(SocketAddr)))
         .mut_arg("retention", |arg| arg.value_parser(value_parser!(usize)))
         .mut_arg("append-rate", |arg| arg.value_parser(value_parser!(u32)))
@@ -163,7 +173,12 @@
         .arg(setting("pool", "RATTANFALL_STANDIN_POOL", "Pool", defaults.pool))
         .arg(setting("slots", "RATTANFALL_STANDIN_SLOTS", "Work that a worker runs at once", defaults.slots))
         .arg(setting("lease-ms", "RATTANFALL_STANDIN_LEASE_MS", "Lease time, in ms", defaults.lease_ms))
-        .arg(setting("reboot-ms", "RATTANFALL_STANDIN_REBOOT_MS", "Duration of a reboot, in ms", defaults.reboot_ms))
+        .arg(setting(
+            "reboot-ms",
+            "RATTANFALL_STANDIN_REBOOT_MS",
+            "Duration of a reboot, in ms",
+            defaults.reboot_ms,
+        ))
         .arg(setting("journal", "RATTANFALL_STANDIN_JOURNAL", "Starts kept per worker", defaults.journal))
         .arg(
             Arg::new("platform")
