--- a/crates/core/src/fleet/apply.rs
+++ b/crates/core/src/fleet/apply.rs
@@ -58,7 +58,7 @@
     #[error("the key exists already")]
     KeyExists,
     /// The author gives or returns more than it holds.
-    #[error("the author holds {held} slots")]
+    #[error("the author holds too few slots ({held})")]
     HoldTooSmall {
         /// Slots held.
         held: u32,
@@ -74,7 +74,7 @@
         left: u32,
     },
     /// As many workers of the pool are drained as allowed.
-    #[error("pool {pool} may have {allowed} workers drained at once")]
+    #[error("pool {pool} has reached its limit of drained workers ({allowed})")]
     Drains {
         /// Name of the pool.
         pool: String,
