--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -178,16 +178,16 @@
     }
 }
 
-/// The owner of a running task is killed; its slots are reclaimed and claimed while the task runs on.
+/// The owner of a running task is killed; one member takes the task over while another claims what is reclaimed.
 fn task_beyond_reclaim() -> Setup {
     Setup {
-        holds: vec![2, 0],
-        limit: 2,
+        holds: vec![1, 0, 0],
+        limit: 1,
         hosts: 1,
         kinds: vec![Kind::Task, Kind::Gone, Kind::Claim],
         requests: true,
-        bounds: Bounds { entries: 6, requests: 2, kills: 1, ..Bounds::default() },
-        victims: 2,
+        bounds: Bounds { entries: 5, requests: 2, kills: 1, ..Bounds::default() },
+        victims: 1,
         faults: Faults::default(),
     }
 }
