--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -164,6 +164,20 @@
     }
 }
 
+/// The owner of a task is killed and started again under its name, which ends its predecessor.
+fn restarted_owner() -> Setup {
+    Setup {
+        holds: vec![1, 1],
+        limit: 2,
+        hosts: 1,
+        kinds: vec![Kind::Task, Kind::Gone],
+        requests: false,
+        bounds: Bounds { entries: 7, kills: 1, restarts: 1, repeats: 1, ..Bounds::default() },
+        victims: 1,
+        faults: Faults::default(),
+    }
+}
+
 /// The worker of a task crashes and forgets it.
 fn crashed_worker() -> Setup {
     Setup {
@@ -231,6 +245,7 @@
 #[case::delayed_join(delayed_join(), "Kill Join AppendArrives Gone Reclaim Claim Write")]
 #[case::leaving_member(leaving_member(), "Leave Exit TakeOver Started Ended")]
 #[case::killed_owner(killed_owner(), "Kill Freeze Gone TakeOver Lapse Requeued Ended Repeat")]
+#[case::restarted_owner(restarted_owner(), "Kill Join TakeOver Lapse Requeued Ended Reclaim Repeat")]
 #[case::crashed_worker(crashed_worker(), "Crash Seen Gone TakeOver Requeued Ended")]
 #[case::task_beyond_reclaim(task_beyond_reclaim(), "Gone TakeOver Reclaim Claim Ended")]
 #[case::drained_worker(
