Return a worker lost under maintenance to maintenance

Such a worker served again as soon as the platform showed another process. That process can be in the old pool, if the platform started it by itself before the reboot request reached it; the worker would then refuse all work of its new pool.

--- a/crates/core/src/fleet/workers.rs
+++ b/crates/core/src/fleet/workers.rs
@@ -54,9 +54,6 @@
         };
         worker.pool = pool;
         worker.state = next_state(worker, seen);
-        if worker.state == WorkerState::Serving {
-            worker.reboot = None;
-        }
         if worker.nonce != seen.nonce {
             worker.zone = zone;
             worker.rack.clone_from(&seen.rack);
@@ -224,13 +221,13 @@
 /// State of a known worker after the platform's list showed it.
 fn next_state(worker: &Worker, seen: &WorkerSeen) -> WorkerState {
     let restarted = worker.nonce != seen.nonce;
+    // A reboot that was allowed may still be to come, or the platform has started the worker in its old pool.
+    let returned = if worker.reboot.is_some() { WorkerState::Maintenance } else { WorkerState::Serving };
     match worker.state {
         WorkerState::Maintenance => WorkerState::Maintenance,
         _ if seen.leaving => WorkerState::Leaving,
-        // The list lags: it can still show the process that is about to be rebooted.
-        WorkerState::Lost if worker.reboot == Some(seen.nonce) => WorkerState::Lost,
-        WorkerState::Lost => WorkerState::Serving,
-        WorkerState::Leaving if restarted => WorkerState::Serving,
+        WorkerState::Lost => returned,
+        WorkerState::Leaving if restarted => returned,
         state => state,
     }
 }
--- a/crates/core/tests/fleet/random.rs
+++ b/crates/core/tests/fleet/random.rs
@@ -355,7 +355,8 @@
     check_workers(after);
 }
 
-/// Last offset from which a snapshot was taken, and every second entry arrives twice.
+/// State of a replica that was restored after `cut` entries, reads the log from its start, and receives every second
+/// entry twice.
 fn replay_from_snapshot(entries: &[Batch], cut: usize) -> Fleet {
     let mut fleet = Fleet::default();
     let numbered = || (0_u64..).map(Offset).zip(entries);
