Shed requests that cannot end in time

Ruled out: shedding by pool-wide run times, because tasks run much longer than requests; times are learned per team's requests. Change: admission and dispatch ask policy::shed, only while the pool is full.

--- a/crates/core/src/engine/requests/mod.rs
+++ b/crates/core/src/engine/requests/mod.rs
@@ -5,7 +5,7 @@
 mod queue;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use slotmap::SlotMap;
 
@@ -32,6 +32,8 @@
     pub(super) class: Class,
     pub(super) idempotent: bool,
     pub(super) deadline: Millis,
+    /// Time that the caller gave, in milliseconds.
+    pub(super) asked: u64,
     pub(super) attempts: u32,
     pub(super) stage: Stage,
 }
@@ -77,16 +79,16 @@
     }
 
     /// Waiting requests whose deadline has passed.
-    pub(super) fn take_expired(&mut self, now: Millis) -> Vec<RequestKey> {
-        let mut expired = Vec::new();
+    pub(super) fn take_expired(&mut self, now: Millis) -> BTreeSet<RequestKey> {
+        let mut expired = BTreeSet::new();
         while let Some(Reverse((deadline, key))) = self.deadlines.peek().copied() {
             if deadline > now {
                 break;
             }
             self.deadlines.pop();
             let waiting = self.rows.get(key).is_some_and(|r| matches!(r.stage, Stage::Waiting));
-            if waiting && !expired.contains(&key) {
-                expired.push(key);
+            if waiting {
+                expired.insert(key);
             }
         }
         expired
@@ -97,6 +99,11 @@
         self.queues.get(&(pool, team)).map_or(0, TeamQueue::len)
     }
 
+    /// Waiting work that a new request of a class starts after.
+    pub(super) fn ahead(&self, pool: PoolId, team: TeamId, class: Class) -> u32 {
+        self.queues.get(&(pool, team)).map_or(0, |queue| queue.ahead(class))
+    }
+
     /// Waiting work of a team in all pools.
     pub(super) fn waiting_of(&self, team: TeamId) -> u32 {
         self.queues.iter().filter(|((_, t), _)| *t == team).map(|(_, queue)| queue.len()).sum()
@@ -121,6 +128,7 @@
             class: Class::Normal,
             idempotent: false,
             deadline: Millis(0),
+            asked: 0,
             attempts: 0,
             stage: Stage::Waiting,
         }
--- a/crates/core/src/engine/requests/queue.rs
+++ b/crates/core/src/engine/requests/queue.rs
@@ -36,6 +36,12 @@
         None
     }
 
+    /// Items that a new item of a class waits for; removed ones are counted until they are passed over.
+    pub(in crate::engine) fn ahead(&self, class: Class) -> u32 {
+        let lanes = self.lanes.iter().take(lane_index(class) + 1);
+        u32::try_from(lanes.map(VecDeque::len).sum::<usize>()).unwrap_or(u32::MAX).min(self.live)
+    }
+
     /// Notes that one waiting item was removed from its table.
     pub(in crate::engine) fn forget_one(&mut self) {
         self.live = self.live.saturating_sub(1);
--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -101,6 +101,16 @@
         row.is_none_or(|row| row.part.is_none_or(|part| row.running < part))
     }
 
+    /// Slots that this member may use while others wait; `None` if the pool is not full.
+    pub(super) fn own_part(&self, pool: PoolId, team: TeamId) -> Option<u32> {
+        self.rows.get(&(pool, team)).and_then(|row| row.part)
+    }
+
+    /// Own running work of a team in a pool.
+    pub(super) fn own_running(&self, pool: PoolId, team: TeamId) -> u32 {
+        self.rows.get(&(pool, team)).map_or(0, |row| row.running)
+    }
+
     /// Work of a team in a pool over the fleet.
     pub(super) fn total(&self, pool: PoolId, team: TeamId) -> Sum {
         let row = self.rows.get(&(pool, team));
--- a/crates/core/src/engine/systems/admission.rs
+++ b/crates/core/src/engine/systems/admission.rs
@@ -6,6 +6,7 @@
 use super::super::{Engine, Millis, RequestKey, Ticket};
 use crate::ids::{KeyId, PoolId, TeamId};
 use crate::policy::retry::Budget;
+use crate::policy::shed::{Outlook, can_meet};
 use crate::record::{KeyHash, Record, TaskAccepted};
 
 /// Where admitted work belongs.
@@ -23,7 +24,12 @@
             Ok(place) => place,
             Err(reason) => return self.refuse_at_door(reason),
         };
-        let deadline = now.plus(self.deadline_ms(&place, submission.deadline_ms));
+        let asked = self.deadline_ms(&place, submission.deadline_ms);
+        let ahead = self.requests.ahead(place.pool, place.team, submission.class);
+        if !self.can_meet(place.pool, place.team, ahead, asked, asked) {
+            return self.refuse_at_door(NotRun::Deadline);
+        }
+        let deadline = now.plus(asked);
         let row = Request {
             pool: place.pool,
             team: place.team,
@@ -31,6 +37,7 @@
             class: submission.class,
             idempotent: submission.idempotent,
             deadline,
+            asked,
             attempts: 0,
             stage: Stage::Waiting,
         };
@@ -123,6 +130,31 @@
         self.budget(team).take()
     }
 
+    /// True if work with `ahead` pieces of its team before it can probably end in time. Where nothing holds the team
+    /// back, waiting is short and nothing is shed.
+    pub(super) fn can_meet(
+        &self,
+        pool: PoolId,
+        team: TeamId,
+        ahead: u32,
+        left_ms: u64,
+        asked_ms: u64,
+    ) -> bool {
+        let Some(slots) = self.shares.own_part(pool, team) else {
+            return left_ms > 0;
+        };
+        let outlook = Outlook {
+            ahead,
+            waiting: self.requests.waiting(pool, team),
+            running: self.shares.own_running(pool, team),
+            slots: f64::from(slots),
+            run_ms: self.upstreams.request_time(pool, team),
+            left_ms,
+            asked_ms,
+        };
+        can_meet(&outlook)
+    }
+
     fn refuse_at_door(&mut self, reason: NotRun) -> RequestKey {
         self.count_not_run(reason);
         let request = self.requests.next_key();
--- a/crates/core/src/engine/systems/attempts.rs
+++ b/crates/core/src/engine/systems/attempts.rs
@@ -105,7 +105,9 @@
         match end {
             AttemptEnd::Answered { .. } => {
                 upstream.recover();
-                self.upstreams.learn_run_time(facts.pool, facts.worker, now.since(facts.sent));
+                let ms = now.since(facts.sent);
+                self.upstreams.learn_run_time(facts.pool, facts.worker, ms);
+                self.upstreams.learn_request_time(facts.pool, facts.team, ms);
             }
             AttemptEnd::Refused(WorkerRefusal::Full) => upstream.pause_full(now),
             AttemptEnd::Refused(_) => upstream.pause_refused(now),
--- a/crates/core/src/engine/systems/scheduling.rs
+++ b/crates/core/src/engine/systems/scheduling.rs
@@ -170,7 +170,7 @@
 
     fn reason_to_refuse(&self, now: Millis, key: RequestKey) -> Option<NotRun> {
         let row = self.requests.rows.get(key)?;
-        if row.deadline <= now {
+        if !self.can_meet(row.pool, row.team, 0, row.deadline.since(now), row.asked) {
             return Some(NotRun::Deadline);
         }
         let withdrawn = row.key.is_some_and(|id| self.is_withdrawn(id));
--- a/crates/core/src/engine/upstreams/mod.rs
+++ b/crates/core/src/engine/upstreams/mod.rs
@@ -52,6 +52,7 @@
     /// Own running work of each team in each rack.
     spread: BTreeMap<(TeamId, u32), u32>,
     run_times: BTreeMap<PoolId, RunTime>,
+    request_times: BTreeMap<(PoolId, TeamId), RunTime>,
 }
 
 impl Upstreams {
@@ -119,6 +120,16 @@
         self.row(worker).run_time.learn(ms as f64);
     }
 
+    /// Learns the run time of a request. Tasks run much longer and would spoil the estimate.
+    pub(super) fn learn_request_time(&mut self, pool: PoolId, team: TeamId, ms: u64) {
+        self.request_times.entry((pool, team)).or_default().learn(ms as f64);
+    }
+
+    /// Learned run time of a team's requests, in milliseconds.
+    pub(super) fn request_time(&self, pool: PoolId, team: TeamId) -> f64 {
+        self.request_times.get(&(pool, team)).and_then(RunTime::mean_ms).unwrap_or(FIRST_RUN_MS)
+    }
+
     /// Learned run time of a pool, in milliseconds.
     pub(super) fn run_time(&self, pool: PoolId) -> f64 {
         self.run_times.get(&pool).and_then(RunTime::mean_ms).unwrap_or(FIRST_RUN_MS)
