Measure how the cost of one entry instance grows with the fleet

The size in two years needs figures for the control cost of an entry instance. The example drives one engine in virtual time; the other members exist through their log records and digests.

--- /dev/null
+++ b/crates/core/examples/slopes/measure.rs
@@ -0,0 +1,166 @@
+//! Costs of one size.
+
+use rattanfall_core::engine::{Event, TICK_MS};
+use rattanfall_core::fleet::Fleet;
+use rattanfall_core::ids::Offset;
+use rattanfall_core::record::{Batch, Record, encode};
+
+use crate::meter::{lowest, resident, time};
+use crate::rig::{Rig, declaration, pairs};
+use crate::sizes::Size;
+
+/// Ticks of one measured block: one second of operation, which holds every periodic task.
+const BLOCK: u32 = 20;
+/// Time after which no further block is measured, in microseconds.
+const ENOUGH_US: f64 = 300_000.0;
+/// Blocks at most.
+const BLOCKS: usize = 50;
+/// Repeats of the other measurements.
+const REPEATS: u32 = 10;
+/// Copies of the state that are kept at once to measure its memory.
+const COPIES: u32 = 4;
+/// Milliseconds in a second.
+const SECOND_MS: u64 = 1_000;
+
+/// Names of the measured costs.
+pub(crate) const COLUMNS: [&str; 13] = [
+    "us/tick",
+    "ms/s",
+    "us/request",
+    "us/list",
+    "us/batch",
+    "us/config",
+    "us/digest",
+    "digest B",
+    "config B",
+    "append B/s",
+    "snapshot kB",
+    "state kB",
+    "tasks",
+];
+
+/// Costs of one size, in the order of [`COLUMNS`].
+pub(crate) fn measure(size: Size) -> [f64; COLUMNS.len()] {
+    let mut rig = Rig::new(size);
+    let state_kb = state_memory(rig.engine.fleet());
+    let (tick, appended) = tick_cost(&mut rig);
+    let request = request_cost(&mut rig);
+    let list = list_cost(&mut rig);
+    let batch = batch_cost(&mut rig);
+    let (config, config_bytes) = config_cost(&mut rig);
+    let digest = digest_cost(&mut rig);
+    let tasks = rig.engine.fleet().tasks.values().filter(|task| task.attempts > 0).count();
+    [
+        tick,
+        tick * f64::from(BLOCK) / 1e3,
+        request,
+        list,
+        batch,
+        config,
+        digest,
+        digest_bytes(&mut rig),
+        config_bytes,
+        appended,
+        count(rig.engine.fleet().snapshot().len()) / 1e3,
+        state_kb,
+        count(tasks),
+    ]
+}
+
+/// Processor time per tick, and appended bytes per second.
+fn tick_cost(rig: &mut Rig) -> (f64, f64) {
+    let mut blocks = Vec::new();
+    while blocks.len() < BLOCKS && blocks.iter().sum::<f64>() < ENOUGH_US || blocks.len() < 2 {
+        rig.hear();
+        blocks.push(time(|| (0..BLOCK).for_each(|_| rig.tick())));
+        rig.settle();
+    }
+    let appended = exact(rig.appended.0) / count(blocks.len());
+    (lowest(blocks) / f64::from(BLOCK), appended)
+}
+
+/// Processor time from the submission of a request to its end.
+fn request_cost(rig: &mut Rig) -> f64 {
+    let pairs: Vec<(u32, u32)> = pairs(rig.size).collect();
+    let once = |_| time(|| pairs.iter().for_each(|(pool, team)| rig.serve(*pool, *team)));
+    lowest((0..REPEATS).map(once)) / count(pairs.len())
+}
+
+/// Processor time per read of the platform's list.
+fn list_cost(rig: &mut Rig) -> f64 {
+    let (now, list) = (rig.now, rig.list());
+    lowest((0..REPEATS).map(|_| {
+        let event = Event::List(list.clone());
+        time(|| rig.engine.handle(now, event))
+    }))
+}
+
+/// Processor time per batch with one record about one worker; the mean over workers of all ages.
+fn batch_cost(rig: &mut Rig) -> f64 {
+    let numbers: Vec<u32> = (0..rig.size.workers).step_by(rig.size.workers as usize / 25).collect();
+    let total = count(numbers.len());
+    let mut times = Vec::new();
+    for _ in 0..REPEATS {
+        let records = numbers.iter().map(|n| Record::WorkerSeen(rig.worker(*n))).collect::<Vec<_>>();
+        let batches: Vec<Batch> = records.into_iter().map(|record| rig.batch(vec![record])).collect();
+        times.push(time(|| batches.into_iter().for_each(|batch| rig.feed(batch))));
+    }
+    lowest(times) / total
+}
+
+/// Processor time per change of the declaration, and the bytes of its batch.
+fn config_cost(rig: &mut Rig) -> (f64, f64) {
+    let declaration = declaration(rig.size);
+    let mut times = Vec::new();
+    let mut bytes = 0;
+    for _ in 0..REPEATS {
+        let base = rig.engine.fleet().version;
+        let batch = rig.batch(vec![Record::ConfigChanged { base, declaration: declaration.clone() }]);
+        bytes = encode(&batch).len();
+        times.push(time(|| rig.feed(batch)));
+    }
+    (lowest(times), count(bytes))
+}
+
+/// Processor time per digest received.
+fn digest_cost(rig: &mut Rig) -> f64 {
+    let mut times = Vec::new();
+    for _ in 0..REPEATS {
+        let digests = rig.peer_digests();
+        let total = count(digests.len());
+        let now = rig.now;
+        let learn = || digests.into_iter().for_each(|d| rig.engine.handle(now, Event::Digest(d)));
+        times.push(time(learn) / total);
+    }
+    lowest(times)
+}
+
+/// Bytes of the engine's own digest, as a batch-like postcard body; the peer protocol adds its frame.
+fn digest_bytes(rig: &mut Rig) -> f64 {
+    rig.digests.clear();
+    rig.run(SECOND_MS);
+    let total: usize = rig.digests.iter().map(|d| postcard::to_stdvec(d).unwrap_or_default().len()).sum();
+    count(total) / count(rig.digests.len().max(1))
+}
+
+/// Resident memory of one copy of the replicated state, in kilobytes.
+fn state_memory(fleet: &Fleet) -> f64 {
+    let before = resident();
+    let copies: Vec<Fleet> = (0..COPIES).map(|_| fleet.clone()).collect();
+    let grown = resident().saturating_sub(before);
+    assert!(copies.iter().all(|copy| copy.applied >= Some(Offset(1))));
+    // The copies are not freed, so that the next measurement cannot reuse their pages.
+    std::mem::forget(copies);
+    exact(grown) / f64::from(COPIES) / 1e3
+}
+
+fn count(n: usize) -> f64 {
+    exact(n as u64)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts and sizes are far below 2^52")]
+fn exact(n: u64) -> f64 {
+    n as f64
+}
+
+const _: () = assert!(BLOCK as u64 * TICK_MS == SECOND_MS);
