Sum the running work of each team once per tick

Every tick asked for the running work of each team in each pool, and each question scanned all rows of the share table: pools x teams x rows. One pass now sums all teams. us/tick at 2,700 workers, 34 pools, 88 teams: 50,949 -> 29,742 (example slopes, machine busy).

--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -107,9 +107,13 @@
         row.map_or_else(Sum::default, |row| Sum { running: row.running + row.peers, waiting: row.waiting })
     }
 
-    /// Running work of a team in all pools, over the fleet.
-    pub(super) fn running_of(&self, team: TeamId) -> u32 {
-        self.rows.iter().filter(|((_, t), _)| *t == team).map(|(_, row)| row.running + row.peers).sum()
+    /// Running work of each team in all pools, over the fleet.
+    pub(super) fn running_by_team(&self) -> BTreeMap<TeamId, u32> {
+        let mut running = BTreeMap::new();
+        for ((_, team), row) in &self.rows {
+            *running.entry(*team).or_default() += row.running + row.peers;
+        }
+        running
     }
 
     /// Standing of a team in a pool, for the choice of the next team.
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -3,10 +3,12 @@
 //! Every member learns the loads. Only the best-ranked member that is heard proposes moves; in a partition each side
 //! may propose, and a record that would break a budget is void.
 
+use std::collections::BTreeMap;
+
 use super::super::{Engine, Millis};
 use super::duty::Duty;
 use crate::fleet::WorkerState;
-use crate::ids::{MemberId, PoolId, WorkerId};
+use crate::ids::{MemberId, PoolId, TeamId, WorkerId};
 use crate::policy::surge::{Move, PoolLoad, WorkerLoad, choose};
 use crate::record::Record;
 
@@ -15,7 +17,9 @@
         let Some(me) = self.member() else {
             return;
         };
-        let loads: Vec<PoolLoad> = self.fleet.pools.keys().map(|pool| self.pool_load(*pool)).collect();
+        let running = self.shares.running_by_team();
+        let pools = self.fleet.pools.keys();
+        let loads: Vec<PoolLoad> = pools.map(|pool| self.pool_load(*pool, &running)).collect();
         let planned = self.planner.plan(now, &loads);
         let (true, Some(planned)) = (self.leads_moves(me), planned) else {
             return;
@@ -36,13 +40,13 @@
         !self.peers.heard().filter(live).any(|id| self.rank(id, Duty::Moves) < own)
     }
 
-    fn pool_load(&self, pool: PoolId) -> PoolLoad {
+    fn pool_load(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
         let row = &self.fleet.pools[&pool];
         let workers = self.fleet.workers.values();
         let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
         let serving = self.fleet.serving(pool);
         let capacity = self.capacity(pool);
-        let (running, waiting) = self.pool_work(pool);
+        let (running, waiting) = self.pool_work(pool, team_running);
         PoolLoad {
             pool,
             spare: row.spare,
@@ -57,13 +61,14 @@
     }
 
     /// Running work of a pool over the fleet, and the waiting work that no upper limit holds back.
-    fn pool_work(&self, pool: PoolId) -> (u32, u32) {
+    fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> (u32, u32) {
         let mut running = 0;
         let mut waiting = 0;
         for (id, team) in &self.fleet.teams {
             let sum = self.shares.total(pool, *id);
             running += sum.running;
-            waiting += sum.waiting.min(team.limit.saturating_sub(self.shares.running_of(*id)));
+            let used = team_running.get(id).copied().unwrap_or(0);
+            waiting += sum.waiting.min(team.limit.saturating_sub(used));
         }
         (running, waiting)
     }
