--- a/crates/core/examples/slopes/rig.rs
+++ b/crates/core/examples/slopes/rig.rs
@@ -152,7 +152,7 @@
             team: TeamId(team + 1),
             running: 1,
             waiting: 0,
-            used: 10.0,
+            offered: 10.0,
         };
         let loads: Vec<Load> = pairs(self.size).map(load).collect();
         let number = self.numbers;
--- a/crates/core/src/engine/event/mod.rs
+++ b/crates/core/src/engine/event/mod.rs
@@ -178,8 +178,8 @@
     pub running: u32,
     /// Waiting work.
     pub waiting: u32,
-    /// Decayed use, in slot-seconds.
-    pub used: f64,
+    /// Work that arrives, in slots: arrivals of the last second times their run time.
+    pub offered: f64,
 }
 
 /// What a worker said about an attempt of a task.
--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -3,14 +3,26 @@
 use std::collections::BTreeMap;
 
 use super::Millis;
+use super::event::Load;
 use crate::ids::{MemberId, PoolId, TeamId};
 use crate::share::{Candidate, Demand, Usage, entitlement, part, quotas};
 
+/// Time constant of the arriving work, in milliseconds.
+const OFFERED_MS: f64 = 1_000.0;
+
 /// Running and waiting work of a team at one member.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Sum {
     pub(super) running: u32,
     pub(super) waiting: u32,
+    /// Arriving work, in slots.
+    pub(super) offered: f64,
+}
+
+impl From<&Load> for Sum {
+    fn from(load: &Load) -> Self {
+        Self { running: load.running, waiting: load.waiting, offered: load.offered }
+    }
 }
 
 /// Use and entitlement of one team in one pool.
@@ -22,6 +34,13 @@
     peers: u32,
     /// Waiting work of all members.
     waiting: u32,
+    /// Arriving work of all members, in slots.
+    offered_by_all: f64,
+    /// Own arriving work, in slots.
+    pub(super) offered: f64,
+    /// Run times of the own arrivals since the last update, in milliseconds.
+    arrived: f64,
+    updated: Millis,
     owed_now: f64,
     usable: u32,
     used: Usage,
@@ -49,7 +68,11 @@
 
 impl TeamLoad {
     fn total(&self) -> Sum {
-        let add = |a: Sum, b: &Sum| Sum { running: a.running + b.running, waiting: a.waiting + b.waiting };
+        let add = |a: Sum, b: &Sum| Sum {
+            running: a.running + b.running,
+            waiting: a.waiting + b.waiting,
+            offered: a.offered + b.offered,
+        };
         self.members.values().fold(Sum::default(), add)
     }
 
@@ -114,7 +137,11 @@
     /// Work of a team in a pool over the fleet.
     pub(super) fn total(&self, pool: PoolId, team: TeamId) -> Sum {
         let row = self.rows.get(&(pool, team));
-        row.map_or_else(Sum::default, |row| Sum { running: row.running + row.peers, waiting: row.waiting })
+        row.map_or_else(Sum::default, |row| Sum {
+            running: row.running + row.peers,
+            waiting: row.waiting,
+            offered: row.offered_by_all,
+        })
     }
 
     /// Running work of each team in all pools, over the fleet.
@@ -141,6 +168,8 @@
         self.usable = usable;
         self.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
         self.waiting = total.waiting;
+        self.offered_by_all = total.offered;
+        self.learn_offered(now);
     }
 
     fn candidate(&self) -> Candidate {
@@ -153,8 +182,18 @@
         }
     }
 
-    /// Decayed use, in slot-seconds.
-    pub(super) fn used(&self) -> f64 {
-        self.used.value()
+    /// Counts an arrival with the run time that is expected of it, in milliseconds.
+    pub(super) fn arrive(&mut self, run_ms: f64) {
+        self.arrived += run_ms;
+    }
+
+    fn learn_offered(&mut self, now: Millis) {
+        let elapsed = now.since(self.updated) as f64;
+        if elapsed > 0.0 {
+            let keep = (-elapsed / OFFERED_MS).exp();
+            self.offered = self.offered * keep + self.arrived / elapsed * (1.0 - keep);
+            self.arrived = 0.0;
+            self.updated = now;
+        }
     }
 }
--- a/crates/core/src/engine/systems/admission.rs
+++ b/crates/core/src/engine/systems/admission.rs
@@ -42,6 +42,8 @@
             stage: Stage::Waiting,
         };
         self.budget(place.team).fund();
+        let run_ms = self.upstreams.request_time(place.pool, place.team);
+        self.shares.row(place.pool, place.team).arrive(run_ms);
         let key = self.requests.rows.insert(row);
         self.requests.enqueue(key, false);
         self.schedule(now, place.pool);
@@ -60,6 +62,8 @@
             return Err(NotRun::PlatformUnavailable);
         }
         self.tasks += 1;
+        let run_ms = self.upstreams.run_time(place.pool);
+        self.shares.row(place.pool, place.team).arrive(run_ms);
         let team = self.fleet.teams[&place.team].name.clone();
         let accepted = TaskAccepted {
             number: self.tasks,
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::super::shares::Sum;
 use super::super::{Engine, Millis};
 use super::duty::Duty;
 use crate::fleet::WorkerState;
@@ -46,7 +47,7 @@
         let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
         let serving = self.fleet.serving(pool);
         let capacity = self.capacity(pool);
-        let (running, waiting) = self.pool_work(pool, team_running);
+        let work = self.pool_work(pool, team_running);
         PoolLoad {
             pool,
             spare: row.spare,
@@ -54,23 +55,25 @@
             arriving: u32::try_from(arriving.count()).unwrap_or(u32::MAX),
             min_serving: row.min_serving,
             slots: capacity.checked_div(serving).unwrap_or(0),
-            running,
-            waiting,
+            running: work.running,
+            waiting: work.waiting,
+            offered: work.offered,
             run_ms: self.upstreams.run_time(pool),
+            patience_ms: self.fleet.declaration.defaults.deadline_ms as f64,
         }
     }
 
-    /// Running work of a pool over the fleet, and the waiting work that no upper limit holds back.
-    fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> (u32, u32) {
-        let mut running = 0;
-        let mut waiting = 0;
+    /// Work of a pool over the fleet; waiting work that an upper limit holds back is left out.
+    fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> Sum {
+        let mut work = Sum::default();
         for (id, team) in &self.fleet.teams {
             let sum = self.shares.total(pool, *id);
-            running += sum.running;
             let used = team_running.get(id).copied().unwrap_or(0);
-            waiting += sum.waiting.min(team.limit.saturating_sub(used));
+            work.running += sum.running;
+            work.waiting += sum.waiting.min(team.limit.saturating_sub(used));
+            work.offered += sum.offered;
         }
-        (running, waiting)
+        work
     }
 
     fn choose_moved(&self, planned: &Move) -> Option<WorkerId> {
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -7,6 +7,9 @@
 use super::super::{Engine, Millis};
 use crate::ids::{MemberId, PoolId, TeamId};
 
+/// Arriving work below which a load is left out of the digest, in slots.
+const LEAST_OFFERED: f64 = 0.05;
+
 impl Engine {
     pub(in crate::engine) fn run_shares(&mut self, now: Millis) {
         let Some(me) = self.member() else {
@@ -29,11 +32,11 @@
     fn member_loads(&self, me: MemberId) -> BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>> {
         let mut loads: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
         for (member, load) in self.peers.loads().filter(|(member, _)| *member != me) {
-            let sum = Sum { running: load.running, waiting: load.waiting };
+            let sum = Sum::from(load);
             loads.entry((load.pool, load.team)).or_default().insert(member, sum);
         }
-        for load in self.own_loads() {
-            let sum = Sum { running: load.running, waiting: load.waiting };
+        for load in &self.own_loads() {
+            let sum = Sum::from(load);
             loads.entry((load.pool, load.team)).or_default().insert(me, sum);
         }
         loads
@@ -56,7 +59,7 @@
 
     fn sent_load(&self, pool: PoolId, team: TeamId) -> Sum {
         let sent = self.sent_loads.iter().find(|load| load.pool == pool && load.team == team);
-        sent.map_or_else(Sum::default, |load| Sum { running: load.running, waiting: load.waiting })
+        sent.map_or_else(Sum::default, Sum::from)
     }
 
     /// Running and waiting work of this member per pool and team.
@@ -72,9 +75,12 @@
                 team,
                 running: row.map_or(0, |row| row.running),
                 waiting: self.requests.waiting(pool, team),
-                used: row.map_or(0.0, |row| row.used()),
+                offered: row.map_or(0.0, |row| row.offered),
             }
         };
-        keys.into_iter().map(load).filter(|l| l.running + l.waiting > 0).collect()
+        keys.into_iter()
+            .map(load)
+            .filter(|l| l.running + l.waiting > 0 || l.offered > LEAST_OFFERED)
+            .collect()
     }
 }
--- a/crates/core/src/engine/systems/viewing.rs
+++ b/crates/core/src/engine/systems/viewing.rs
@@ -35,7 +35,7 @@
             });
             sum.running += load.running;
             sum.waiting += load.waiting;
-            sum.used += load.used;
+            sum.offered += load.offered;
         }
         sums.into_values().collect()
     }
