Share out what parts leave unused; a part of none sheds nothing

Cause: a member whose part was none until the next digest refused requests that had time, and parts that a member could not use idled until the next digest. Ruled out: starting above the part whenever a worker looks free, which favours the member that looks first. Change: half of the unused slots, at most a quarter of the pool, are shared out again by the quotas; a part counts as one slot at least when a wait is estimated; the live demand is used where the last digest said none.

--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -78,7 +78,8 @@
 
     /// This member's part of a quota.
     fn own_part(&self, me: MemberId, quota: u32) -> u32 {
-        let known = |(id, sum): (&MemberId, &Sum)| if *id == me { self.sent } else { *sum };
+        let sent = self.sent.running + self.sent.waiting > 0;
+        let known = |(id, sum): (&MemberId, &Sum)| if *id == me && sent { self.sent } else { *sum };
         let own: Vec<u32> = self.members.iter().map(known).map(|sum| sum.running + sum.waiting).collect();
         let index = self.members.keys().position(|id| *id == me);
         index.map_or(0, |index| part(quota, &own, index))
@@ -112,7 +113,7 @@
         let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
         let full = usable > u64::from(capacity);
         let candidates: Vec<Candidate> = teams.iter().map(|load| self.candidate(pool, load.team)).collect();
-        let quotas = quotas(capacity, &candidates);
+        let quotas = quotas(capacity + unused(capacity, &candidates), &candidates);
         for (load, quota) in teams.iter().zip(quotas) {
             self.row(pool, load.team).part = full.then(|| load.own_part(me, quota));
         }
@@ -159,6 +160,13 @@
     }
 }
 
+/// Slots that parts leave unused: a member whose demand fell since its last digest cannot use its part. Half of them
+/// are shared out again, so that a full pool is not idle between digests; workers refuse what is too much.
+fn unused(capacity: u32, teams: &[Candidate]) -> u32 {
+    let running: u32 = teams.iter().map(|team| team.running).sum();
+    (capacity.saturating_sub(running) / 2).min(capacity / 4)
+}
+
 impl Row {
     fn account(&mut self, now: Millis, me: MemberId, load: &TeamLoad, usable: u32, owed_now: f64) {
         let total = load.total();
--- a/crates/core/src/engine/systems/admission.rs
+++ b/crates/core/src/engine/systems/admission.rs
@@ -151,7 +151,8 @@
             ahead,
             waiting: self.requests.waiting(pool, team),
             running: self.shares.own_running(pool, team),
-            slots: f64::from(slots),
+            // A part of none lasts until the next digest only.
+            slots: f64::from(slots.max(1)),
             run_ms: self.upstreams.request_time(pool, team),
             left_ms,
             asked_ms,
