--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -3,10 +3,13 @@
 //! Every member learns the loads. Only the best-ranked member that is heard proposes moves; in a partition each side
 //! may propose, and a record that would break a budget is void.
 
+use std::collections::BTreeMap;
+
+use super::super::shares::Sum;
 use super::super::{Engine, Millis};
 use super::duty::Duty;
 use crate::fleet::WorkerState;
-use crate::ids::{MemberId, PoolId, WorkerId};
+use crate::ids::{MemberId, PoolId, TeamId, WorkerId};
 use crate::policy::surge::{Move, PoolLoad, WorkerLoad, choose};
 use crate::record::Record;
 
@@ -15,7 +18,9 @@
         let Some(me) = self.member() else {
             return;
         };
-        let loads: Vec<PoolLoad> = self.fleet.pools.keys().map(|pool| self.pool_load(*pool)).collect();
+        let running = self.shares.running_by_team();
+        let pools = self.fleet.pools.keys();
+        let loads: Vec<PoolLoad> = pools.map(|pool| self.pool_load(*pool, &running)).collect();
         let planned = self.planner.plan(now, &loads);
         let (true, Some(planned)) = (self.leads_moves(me), planned) else {
             return;
@@ -36,13 +41,13 @@
         !self.peers.heard().filter(live).any(|id| self.rank(id, Duty::Moves) < own)
     }
 
-    fn pool_load(&self, pool: PoolId) -> PoolLoad {
+    fn pool_load(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
         let row = &self.fleet.pools[&pool];
         let workers = self.fleet.workers.values();
         let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
         let serving = self.fleet.serving(pool);
         let capacity = self.capacity(pool);
-        let (running, waiting) = self.pool_work(pool);
+        let work = self.pool_work(pool, team_running);
         PoolLoad {
             pool,
             spare: row.spare,
@@ -50,22 +55,25 @@
             arriving: u32::try_from(arriving.count()).unwrap_or(u32::MAX),
             min_serving: row.min_serving,
             slots: capacity.checked_div(serving).unwrap_or(0),
-            running,
-            waiting,
+            running: work.running,
+            waiting: work.waiting,
+            offered: work.offered,
             run_ms: self.upstreams.run_time(pool),
+            patience_ms: self.fleet.declaration.defaults.deadline_ms as f64,
         }
     }
 
-    /// Running work of a pool over the fleet, and the waiting work that no upper limit holds back.
-    fn pool_work(&self, pool: PoolId) -> (u32, u32) {
-        let mut running = 0;
-        let mut waiting = 0;
+    /// Work of a pool over the fleet; waiting work that an upper limit holds back is left out.
+    fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> Sum {
+        let mut work = Sum::default();
         for (id, team) in &self.fleet.teams {
             let sum = self.shares.total(pool, *id);
-            running += sum.running;
-            waiting += sum.waiting.min(team.limit.saturating_sub(self.shares.running_of(*id)));
+            let used = team_running.get(id).copied().unwrap_or(0);
+            work.running += sum.running;
+            work.waiting += sum.waiting.min(team.limit.saturating_sub(used));
+            work.offered += sum.offered;
         }
-        (running, waiting)
+        work
     }
 
     fn choose_moved(&self, planned: &Move) -> Option<WorkerId> {
--- a/crates/core/src/fleet/workers.rs
+++ b/crates/core/src/fleet/workers.rs
@@ -54,9 +54,6 @@
         };
         worker.pool = pool;
         worker.state = next_state(worker, seen);
-        if worker.state == WorkerState::Serving {
-            worker.reboot = None;
-        }
         if worker.nonce != seen.nonce {
             worker.zone = zone;
             worker.rack.clone_from(&seen.rack);
@@ -216,12 +213,14 @@
     }
 
     /// Checks the quiescence barrier. A task that was taken over from an ended member can still run on the worker
-    /// after its new owner has confirmed, so started tasks count as well.
+    /// after its new owner has confirmed, so started tasks count as well. Requests of a gone member can run until its
+    /// holds are reclaimed, and the reboot must not interrupt them either.
     fn check_quiet(&self, id: WorkerId, since: Offset) -> Result<(), VoidReason> {
         let on_worker =
             |state: &TaskState| matches!(state, TaskState::Started { worker, .. } if *worker == id);
         let busy = || self.tasks.values().find(|t| on_worker(&t.state)).map(|t| t.owner);
-        let member = self.unconfirmed(since).or_else(busy);
+        let unreclaimed = || self.holds.keys().map(|(_, holder)| *holder).find(|id| self.is_gone(*id));
+        let member = self.unconfirmed(since).or_else(busy).or_else(unreclaimed);
         member.map_or(Ok(()), |member| Err(VoidReason::NotQuiet(member)))
     }
 
@@ -239,13 +238,13 @@
 /// State of a known worker after the platform's list showed it.
 fn next_state(worker: &Worker, seen: &WorkerSeen) -> WorkerState {
     let restarted = worker.nonce != seen.nonce;
+    // A reboot that was allowed may still be to come, or the platform has started the worker in its old pool.
+    let returned = if worker.reboot.is_some() { WorkerState::Maintenance } else { WorkerState::Serving };
     match worker.state {
         WorkerState::Maintenance => WorkerState::Maintenance,
         _ if seen.leaving => WorkerState::Leaving,
-        // The list lags: it can still show the process that is about to be rebooted.
-        WorkerState::Lost if worker.reboot == Some(seen.nonce) => WorkerState::Lost,
-        WorkerState::Lost => WorkerState::Serving,
-        WorkerState::Leaving if restarted => WorkerState::Serving,
+        WorkerState::Lost => returned,
+        WorkerState::Leaving if restarted => returned,
         state => state,
     }
 }
