--- /dev/null
+++ b/crates/entry/tests/processes/main.rs
@@ -0,0 +1,9 @@
+//! End-to-end tests over real processes and sockets: a platform, workers and entry instances on the loopback address.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a helper fails the test")]
+
+mod freeze;
+mod holds;
+mod kill;
+mod stop;
+mod support;
--- /dev/null
+++ b/crates/entry/tests/processes/support/caller.rs
@@ -0,0 +1,194 @@
+//! Callers over kept connections, and load from several of them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use rattanfall_standin::worker::Payload;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Longest wait of a caller, beyond every deadline of these tests.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    /// Text of a header; empty if absent.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// JSON body.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+/// Caller with one kept connection.
+pub(crate) struct Caller {
+    address: String,
+    key: String,
+    connection: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    /// Caller that connects with its first request.
+    pub(crate) fn new(address: &str, key: &str) -> Self {
+        Self { address: address.to_owned(), key: key.to_owned(), connection: None }
+    }
+
+    /// Sends a request and waits for its whole answer. After an error the next request connects again.
+    pub(crate) async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, String> {
+        let mut request = Request::builder().method(method).uri(path).header("host", &self.address);
+        request = request.header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+        let mut sender = match self.connection.take().filter(|sender| sender.is_ready()) {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        let exchange = async {
+            let answer = sender.send_request(request).await.map_err(|e| format!("no answer: {e:?}"))?;
+            let (head, body) = answer.into_parts();
+            let body = body.collect().await.map_err(|e| format!("the answer ended early: {e:?}"))?;
+            let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+            Ok::<_, String>(Answer { status: head.status.as_u16(), headers: head.headers, body })
+        };
+        let answer = timeout(PATIENCE, exchange).await.map_err(|_| "no answer in time".to_owned())??;
+        let _ = sender.ready().await;
+        self.connection = Some(sender);
+        Ok(answer)
+    }
+
+    /// Sends a non-idempotent request to pool `orders`.
+    pub(crate) async fn work(
+        &mut self,
+        token: &str,
+        work_ms: u64,
+        more: &[(&str, &str)],
+    ) -> Result<Answer, String> {
+        let work = work_ms.to_string();
+        let own = [("x-caller-token", token), ("x-work-ms", &work), ("x-team", "alder")];
+        self.send(Method::POST, "/v1/pools/orders/call/check", &[&own, more].concat(), "").await
+    }
+
+    /// Submits a task of team `alder`; the answer has its id.
+    pub(crate) async fn submit(
+        &mut self,
+        token: &str,
+        work_ms: u64,
+        idempotent: bool,
+    ) -> Result<Answer, String> {
+        let payload = Payload { work_ms, token: token.into(), team: "alder".into(), ..Payload::default() };
+        let headers =
+            [("x-idempotent", if idempotent { "true" } else { "false" }), ("x-submit-token", token)];
+        let body = serde_json::to_string(&payload).unwrap();
+        self.send(Method::POST, "/v1/pools/orders/tasks", &headers, &body).await
+    }
+
+    /// State of a task; empty if there is no answer.
+    pub(crate) async fn task_state(&mut self, id: &str) -> String {
+        let answer = self.send(Method::GET, &format!("/v1/tasks/{id}"), &[], "").await;
+        answer.ok().and_then(|a| Some(a.json()["state"].as_str()?.to_owned())).unwrap_or_default()
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, String> {
+        let stream = TcpStream::connect(&self.address).await.map_err(|e| format!("not connected: {e}"))?;
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|e| format!("not connected: {e}"))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
+
+/// One request of a load.
+#[derive(Debug)]
+pub(crate) struct Sample {
+    pub(crate) token: String,
+    pub(crate) answer: Result<Answer, String>,
+}
+
+impl Sample {
+    /// Whether this is the whole answer to the own request.
+    pub(crate) fn is_done(&self) -> bool {
+        self.answer.as_ref().is_ok_and(|answer| {
+            answer.status == 200
+                && answer.header("x-outcome") == "done"
+                && answer.body == format!("{}\n", self.token)
+        })
+    }
+}
+
+/// Load of several callers, each with one request at a time.
+pub(crate) struct Load {
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<Vec<Sample>>,
+}
+
+impl Load {
+    /// Starts callers that spread over the addresses and go on to the next one when a connection fails.
+    pub(crate) fn start(name: &str, addresses: &[String], key: &str, callers: usize, work_ms: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut tasks = JoinSet::new();
+        for number in 0..callers {
+            let (stop, addresses, key) = (Arc::clone(&stop), addresses.to_vec(), key.to_owned());
+            let name = format!("{name}-{number}");
+            tasks.spawn(async move { run(&stop, &name, number, &addresses, &key, work_ms).await });
+        }
+        Self { stop, tasks }
+    }
+
+    /// Ends the load and returns every request.
+    pub(crate) async fn finish(self) -> Vec<Sample> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+async fn run(
+    stop: &AtomicBool,
+    name: &str,
+    first: usize,
+    addresses: &[String],
+    key: &str,
+    work_ms: u64,
+) -> Vec<Sample> {
+    let mut samples = Vec::new();
+    let mut at = first % addresses.len();
+    let mut caller = Caller::new(&addresses[at], key);
+    while !stop.load(Ordering::Relaxed) {
+        let token = format!("{name}-{}", samples.len());
+        let answer = caller.work(&token, work_ms, &[]).await;
+        let sample = Sample { token, answer };
+        if !sample.is_done() {
+            at = (at + 1) % addresses.len();
+            caller = Caller::new(&addresses[at], key);
+            // Refusals come at once; without a pause they would fill the sample.
+            sleep(Duration::from_millis(5)).await;
+        }
+        samples.push(sample);
+    }
+    samples
+}
--- /dev/null
+++ b/crates/entry/tests/processes/support/journal.rs
@@ -0,0 +1,38 @@
+//! What the workers' journals say.
+
+use rattanfall_standin::worker::{Entry, JournalPage};
+
+/// Starts of the work with a token, over all workers.
+pub(crate) fn starts_of(journals: &[JournalPage], token: &str) -> usize {
+    journals.iter().flat_map(|page| &page.entries).filter(|entry| entry.start.token == token).count()
+}
+
+/// Highest number of concurrent runs of a team over all workers.
+pub(crate) fn peak(journals: &[JournalPage], team: &str) -> i64 {
+    levels(journals, team).into_iter().map(|(_, level)| level).max().unwrap_or(0)
+}
+
+/// First time at which a team runs this much at once, in microseconds since 1970.
+pub(crate) fn reaches(journals: &[JournalPage], team: &str, wanted: i64, after_us: u64) -> Option<u64> {
+    let levels = levels(journals, team).into_iter();
+    levels.filter(|(at, level)| *at >= after_us && *level >= wanted).map(|(at, _)| at).next()
+}
+
+fn levels(journals: &[JournalPage], team: &str) -> Vec<(u64, i64)> {
+    let own = |entry: &&Entry| entry.start.team == team;
+    let mut steps: Vec<(u64, i64)> = Vec::new();
+    for entry in journals.iter().flat_map(|page| &page.entries).filter(own) {
+        steps.push((entry.started_us, 1));
+        if entry.ended_us > 0 {
+            steps.push((entry.ended_us, -1));
+        }
+    }
+    // At the same time an end counts before a start.
+    steps.sort_unstable();
+    let mut level = 0;
+    let sum = |(at, step): (u64, i64)| {
+        level += step;
+        (at, level)
+    };
+    steps.into_iter().map(sum).collect()
+}
--- /dev/null
+++ b/crates/entry/tests/processes/support/mod.rs
@@ -0,0 +1,13 @@
+//! Small fleets of processes, and callers and operators for them.
+
+mod caller;
+mod fleet;
+mod journal;
+mod process;
+mod wait;
+
+pub(crate) use caller::{Caller, Load, Sample};
+pub(crate) use fleet::{Fleet, Setup};
+pub(crate) use journal::{peak, reaches, starts_of};
+pub(crate) use process::Process;
+pub(crate) use wait::until;
