--- a/crates/core/src/engine/systems/log.rs
+++ b/crates/core/src/engine/systems/log.rs
@@ -134,7 +134,7 @@
     fn notice_members(&mut self, now: Millis) {
         for (id, member) in &self.fleet.members {
             self.seen.entry(*id).or_insert(now);
-            if matches!(member.state, MemberState::Gone(_)) && self.fleet.holds.keys().any(|(_, h)| h == id) {
+            if matches!(member.state, MemberState::Gone(_)) {
                 self.gone.entry(*id).or_insert(now);
             }
         }
