--- a/crates/entry/tests/processes/stop.rs
+++ b/crates/entry/tests/processes/stop.rs
@@ -6,24 +6,11 @@
 use rstest::rstest;
 use serde_json::json;
 
-use crate::support::{Fleet, Load, Sample, Setup, starts_of, until};
+use crate::support::{Fleet, Load, Setup, assert_uncut, until};
 
 /// Time that the servers take to close idle connections, one second each, with room for a busy machine.
 const CLOSE: Duration = Duration::from_secs(4);
 
-/// Every request that reached a worker must have its whole answer, and every other one must not have run.
-fn assert_uncut(samples: &[Sample], journals: &[rattanfall_standin::worker::JournalPage]) {
-    for sample in samples {
-        let starts = starts_of(journals, &sample.token);
-        assert_eq!(starts, usize::from(sample.is_done()), "{sample:?}");
-    }
-    assert!(
-        samples.iter().filter(|sample| sample.is_done()).count() > 20,
-        "too little load: {}",
-        samples.len()
-    );
-}
-
 /// Guards against a shutdown that cuts requests, leaves the instance in the member list, or does not end.
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/entry/tests/processes/support/fleet.rs
+++ b/crates/entry/tests/processes/support/fleet.rs
@@ -9,7 +9,7 @@
 use rattanfall_standin::http::{call, get};
 use rattanfall_standin::worker::JournalPage;
 use rattanfall_wire::operator::Status;
-use rattanfall_wire::platform::{Instance, InstanceList, Kind, State};
+use rattanfall_wire::platform::{Instance, InstanceList, Kind, LogPage, State};
 use serde_json::{Value, json};
 
 use super::process::program;
@@ -129,14 +129,12 @@
             self.processes.push(process);
         }
         let count: u32 = self.setup.workers.iter().map(|(count, _)| count).sum();
-        let platform = &self.platform;
-        self.workers = until("the list shows all workers", async || {
-            let list: InstanceList =
-                serde_json::from_slice(&get(platform, "/instances").await.ok()?.1).ok()?;
-            let workers = list.instances.into_iter().filter(|i| i.kind == Kind::Worker);
+        let workers = until("the list shows all workers", async || {
+            let workers = self.listed().await?.into_iter().filter(|i| i.kind == Kind::Worker);
             Some(workers.collect::<Vec<_>>()).filter(|workers| workers.len() == count as usize)
         })
         .await;
+        self.workers = workers;
     }
 
     /// Starts an entry instance and registers it, as the platform would.
@@ -233,6 +231,26 @@
         assert!(status.is_success());
     }
 
+    /// Switches the faults of every worker.
+    pub(crate) async fn worker_faults(&self, faults: Value) {
+        for worker in &self.workers {
+            let set = call(&worker.address, Method::PUT, "/control/faults", &faults).await;
+            assert!(set.unwrap().0.is_success());
+        }
+    }
+
+    /// Instances as the platform lists them.
+    pub(crate) async fn listed(&self) -> Option<Vec<Instance>> {
+        let (_, body) = get(&self.platform, "/instances").await.ok()?;
+        Some(serde_json::from_slice::<InstanceList>(&body).ok()?.instances)
+    }
+
+    /// Page at the end of the log.
+    pub(crate) async fn log_page(&self) -> Option<LogPage> {
+        let (_, body) = get(&self.platform, "/log/read?from=1000000&max=1").await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
     /// Takes an instance off the platform's list; its process must have ended.
     pub(crate) async fn unlist(&self, name: &str) {
         call(&self.platform, Method::DELETE, &format!("/instances/{name}"), &json!(null)).await.unwrap();
--- a/crates/entry/tests/processes/support/journal.rs
+++ b/crates/entry/tests/processes/support/journal.rs
@@ -2,6 +2,8 @@
 
 use rattanfall_standin::worker::{Entry, JournalPage};
 
+use super::Sample;
+
 /// Starts of the work with a token, over all workers.
 pub(crate) fn starts_of(journals: &[JournalPage], token: &str) -> usize {
     journals.iter().flat_map(|page| &page.entries).filter(|entry| entry.start.token == token).count()
@@ -36,3 +38,16 @@
     };
     steps.into_iter().map(sum).collect()
 }
+
+/// Every request that reached a worker must have its whole answer, and every other one must not have run.
+pub(crate) fn assert_uncut(samples: &[Sample], journals: &[JournalPage]) {
+    for sample in samples {
+        let starts = starts_of(journals, &sample.token);
+        assert_eq!(starts, usize::from(sample.is_done()), "{sample:?}");
+    }
+    assert!(
+        samples.iter().filter(|sample| sample.is_done()).count() > 20,
+        "too little load: {}",
+        samples.len()
+    );
+}
