--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -3,14 +3,26 @@
 use std::collections::BTreeMap;
 
 use super::Millis;
+use super::event::Load;
 use crate::ids::{MemberId, PoolId, TeamId};
-use crate::share::{Candidate, Demand, Usage, entitlement, part, quota};
+use crate::share::{Candidate, Demand, Usage, entitlement, part, quotas};
+
+/// Time constant of the arriving work, in milliseconds.
+const OFFERED_MS: f64 = 1_000.0;
 
 /// Running and waiting work of a team at one member.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Sum {
     pub(super) running: u32,
     pub(super) waiting: u32,
+    /// Arriving work, in slots.
+    pub(super) offered: f64,
+}
+
+impl From<&Load> for Sum {
+    fn from(load: &Load) -> Self {
+        Self { running: load.running, waiting: load.waiting, offered: load.offered }
+    }
 }
 
 /// Use and entitlement of one team in one pool.
@@ -22,7 +34,15 @@
     peers: u32,
     /// Waiting work of all members.
     waiting: u32,
+    /// Arriving work of all members, in slots.
+    offered_by_all: f64,
+    /// Own arriving work, in slots.
+    pub(super) offered: f64,
+    /// Run times of the own arrivals since the last update, in milliseconds.
+    arrived: f64,
+    updated: Millis,
     owed_now: f64,
+    usable: u32,
     used: Usage,
     owed: Usage,
     /// Slots that this member may use while others wait; none if the pool is not full.
@@ -41,14 +61,30 @@
     pub(super) share: u32,
     pub(super) limit: u32,
     pub(super) members: BTreeMap<MemberId, Sum>,
+    /// Own work as the last digest said. Members split a quota by the figures that all of them know, so that their
+    /// parts add up to it.
+    pub(super) sent: Sum,
 }
 
 impl TeamLoad {
     fn total(&self) -> Sum {
-        let add = |a: Sum, b: &Sum| Sum { running: a.running + b.running, waiting: a.waiting + b.waiting };
+        let add = |a: Sum, b: &Sum| Sum {
+            running: a.running + b.running,
+            waiting: a.waiting + b.waiting,
+            offered: a.offered + b.offered,
+        };
         self.members.values().fold(Sum::default(), add)
     }
 
+    /// This member's part of a quota.
+    fn own_part(&self, me: MemberId, quota: u32) -> u32 {
+        let sent = self.sent.running + self.sent.waiting > 0;
+        let known = |(id, sum): (&MemberId, &Sum)| if *id == me && sent { self.sent } else { *sum };
+        let own: Vec<u32> = self.members.iter().map(known).map(|sum| sum.running + sum.waiting).collect();
+        let index = self.members.keys().position(|id| *id == me);
+        index.map_or(0, |index| part(quota, &own, index))
+    }
+
     fn demand(&self) -> Demand {
         let total = self.total();
         Demand { share: self.share, demand: total.running + total.waiting, limit: self.limit }
@@ -71,17 +107,15 @@
     ) {
         let demands: Vec<Demand> = teams.iter().map(TeamLoad::demand).collect();
         let owed = entitlement(capacity, &demands);
+        for ((load, demand), owed_now) in teams.iter().zip(&demands).zip(owed) {
+            self.row(pool, load.team).account(now, me, load, demand.usable(), owed_now);
+        }
         let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
         let full = usable > u64::from(capacity);
-        for ((load, demand), owed_now) in teams.iter().zip(&demands).zip(owed) {
-            let total = load.total();
-            let row = self.row(pool, load.team);
-            row.used.advance(now.0, f64::from(total.running));
-            row.owed.advance(now.0, owed_now);
-            row.owed_now = owed_now;
-            row.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
-            row.waiting = total.waiting;
-            row.part = full.then(|| own_part(row, me, load, demand.usable()));
+        let candidates: Vec<Candidate> = teams.iter().map(|load| self.candidate(pool, load.team)).collect();
+        let quotas = quotas(capacity + unused(capacity, &candidates), &candidates);
+        for (load, quota) in teams.iter().zip(quotas) {
+            self.row(pool, load.team).part = full.then(|| load.own_part(me, quota));
         }
     }
 
@@ -91,15 +125,33 @@
         row.is_none_or(|row| row.part.is_none_or(|part| row.running < part))
     }
 
+    /// Slots that this member may use while others wait; `None` if the pool is not full.
+    pub(super) fn own_part(&self, pool: PoolId, team: TeamId) -> Option<u32> {
+        self.rows.get(&(pool, team)).and_then(|row| row.part)
+    }
+
+    /// Own running work of a team in a pool.
+    pub(super) fn own_running(&self, pool: PoolId, team: TeamId) -> u32 {
+        self.rows.get(&(pool, team)).map_or(0, |row| row.running)
+    }
+
     /// Work of a team in a pool over the fleet.
     pub(super) fn total(&self, pool: PoolId, team: TeamId) -> Sum {
         let row = self.rows.get(&(pool, team));
-        row.map_or_else(Sum::default, |row| Sum { running: row.running + row.peers, waiting: row.waiting })
+        row.map_or_else(Sum::default, |row| Sum {
+            running: row.running + row.peers,
+            waiting: row.waiting,
+            offered: row.offered_by_all,
+        })
     }
 
-    /// Running work of a team in all pools, over the fleet.
-    pub(super) fn running_of(&self, team: TeamId) -> u32 {
-        self.rows.iter().filter(|((_, t), _)| *t == team).map(|(_, row)| row.running + row.peers).sum()
+    /// Running work of each team in all pools, over the fleet.
+    pub(super) fn running_by_team(&self) -> BTreeMap<TeamId, u32> {
+        let mut running = BTreeMap::new();
+        for ((_, team), row) in &self.rows {
+            *running.entry(*team).or_default() += row.running + row.peers;
+        }
+        running
     }
 
     /// Standing of a team in a pool, for the choice of the next team.
@@ -108,25 +160,48 @@
     }
 }
 
+/// Slots that parts leave unused: a member whose demand fell since its last digest cannot use its part. Half of them
+/// are shared out again, so that a full pool is not idle between digests; workers refuse what is too much.
+fn unused(capacity: u32, teams: &[Candidate]) -> u32 {
+    let running: u32 = teams.iter().map(|team| team.running).sum();
+    (capacity.saturating_sub(running) / 2).min(capacity / 4)
+}
+
 impl Row {
+    fn account(&mut self, now: Millis, me: MemberId, load: &TeamLoad, usable: u32, owed_now: f64) {
+        let total = load.total();
+        self.used.advance(now.0, f64::from(total.running));
+        self.owed.advance(now.0, owed_now);
+        self.owed_now = owed_now;
+        self.usable = usable;
+        self.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
+        self.waiting = total.waiting;
+        self.offered_by_all = total.offered;
+        self.learn_offered(now);
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate {
             owed_now: self.owed_now,
+            usable: self.usable,
             running: self.running + self.peers,
             owed: self.owed.value(),
             used: self.used.value(),
         }
     }
 
-    /// Decayed use, in slot-seconds.
-    pub(super) fn used(&self) -> f64 {
-        self.used.value()
+    /// Counts an arrival with the run time that is expected of it, in milliseconds.
+    pub(super) fn arrive(&mut self, run_ms: f64) {
+        self.arrived += run_ms;
     }
-}
 
-fn own_part(row: &Row, me: MemberId, load: &TeamLoad, usable: u32) -> u32 {
-    let allowed = quota(&row.candidate(), usable);
-    let own: Vec<u32> = load.members.values().map(|sum| sum.running + sum.waiting).collect();
-    let index = load.members.keys().position(|id| *id == me);
-    index.map_or(0, |index| part(allowed, &own, index))
+    fn learn_offered(&mut self, now: Millis) {
+        let elapsed = now.since(self.updated) as f64;
+        if elapsed > 0.0 {
+            let keep = (-elapsed / OFFERED_MS).exp();
+            self.offered = self.offered * keep + self.arrived / elapsed * (1.0 - keep);
+            self.arrived = 0.0;
+            self.updated = now;
+        }
+    }
 }
--- a/crates/entry/tests/processes/stop.rs
+++ b/crates/entry/tests/processes/stop.rs
@@ -23,6 +23,11 @@
         status.member.filter(|_| running > 0)
     });
     let member = busy.await;
+    until("the load is under way", async || {
+        let served: usize = fleet.journals().await.iter().map(|page| page.entries.len()).sum();
+        (served > 30).then_some(())
+    })
+    .await;
     let stopping = Instant::now();
     fleet.entries[0].process.signal("TERM");
     let exit = fleet.entries[0].process.exit(Duration::from_secs(8) + CLOSE).await;
@@ -49,6 +54,11 @@
         status.workers.iter().any(|worker| worker.running > 0).then_some(())
     })
     .await;
+    until("the load is under way", async || {
+        let served: usize = fleet.journals().await.iter().map(|page| page.entries.len()).sum();
+        (served > 30).then_some(())
+    })
+    .await;
     fleet.faults(json!({ "down": true })).await;
     let stopping = Instant::now();
     fleet.entries[0].process.signal("TERM");
