--- a/crates/core/examples/slopes/rig.rs
+++ b/crates/core/examples/slopes/rig.rs
@@ -5,7 +5,8 @@
 use rattanfall_core::declaration::{Declaration, Pool, Team};
 use rattanfall_core::engine::command::{Command, TaskOrder, TaskVerb};
 use rattanfall_core::engine::event::{
-    AttemptEnd, Digest, List, ListedEntry, Load, Submission, TaskAnswer, TaskReport, TaskSubmission,
+    AppendEnd, AttemptEnd, Digest, List, ListedEntry, Load, Submission, TaskAnswer, TaskReport,
+    TaskSubmission,
 };
 use rattanfall_core::engine::{Engine, Event, Millis, Options, RequestKey, TICK_MS};
 use rattanfall_core::ids::{MemberId, Offset, PoolId, TeamId};
@@ -205,7 +206,7 @@
                 let (bytes, batches) = self.appended;
                 self.appended = (bytes + encode(&batch).len() as u64, batches + 1);
                 let sequence = batch.sequence;
-                self.engine.handle(self.now, Event::AppendEnded { sequence, accepted: true });
+                self.engine.handle(self.now, Event::AppendEnded { sequence, end: AppendEnd::Taken });
                 self.feed(batch);
             }
             Command::Send(order) => self.sent.push(order.request),
--- a/crates/core/src/engine/event/mod.rs
+++ b/crates/core/src/engine/event/mod.rs
@@ -30,13 +30,12 @@
     LogCorrupt(Offset),
     /// A read of the log reached its end; the view is as fresh as this moment.
     LogEnd,
-    /// The append of the batch with this sequence succeeded or failed without a trace; both mean that the engine may
-    /// append again, and a failure is repeated with the same sequence.
+    /// An append of the batch with this sequence ended.
     AppendEnded {
         /// Sequence of the batch.
         sequence: u64,
-        /// True if the log took the batch.
-        accepted: bool,
+        /// How it ended.
+        end: AppendEnd,
     },
     /// A state with a higher offset, from a snapshot in the log or from a peer.
     Restored(Box<Fleet>),
@@ -59,6 +58,17 @@
     Stop,
 }
 
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendEnd {
+    /// The log took the batch.
+    Taken,
+    /// Nothing was sent, or the log refused it.
+    NotTaken,
+    /// The log may have taken it.
+    Unknown,
+}
+
 /// Work that a caller hands in.
 #[derive(Clone, Debug)]
 pub struct Submission {
--- a/crates/core/src/engine/systems/holding.rs
+++ b/crates/core/src/engine/systems/holding.rs
@@ -37,11 +37,11 @@
         if needed > 0 {
             self.needs.insert(team, now);
         }
+        let over = if self.appends.down { 0 } else { self.over_part(me, team) };
+        self.uses.reserve(team, over);
         if self.has_pending(team) {
             return;
         }
-        let over = if self.appends.down { 0 } else { self.over_part(me, team) };
-        self.uses.reserve(team, over);
         if self.shrink(now, me, team) || needed > 0 && self.claim(now, team, needed) {
             return;
         }
@@ -109,7 +109,8 @@
         }
         let own: Vec<u32> = demands.values().copied().collect();
         let index = demands.keys().position(|id| *id == me).unwrap_or(0);
-        self.fleet.hold(team, me).saturating_sub(part(self.fleet.teams[&team].limit, &own, index))
+        let kept = self.fleet.hold(team, me).saturating_sub(self.uses.leaving(team));
+        kept.saturating_sub(part(self.fleet.teams[&team].limit, &own, index))
     }
 
     /// Gives up to `most` slots to the member that lacks most.
@@ -124,6 +125,8 @@
             return false;
         }
         self.uses.promise(team, slots);
+        let over = self.over_part(me, team);
+        self.uses.reserve(team, over);
         let team = self.fleet.teams[&team].name.clone();
         self.note(now, Record::HoldGive { team, to, slots });
         true
--- a/crates/core/src/engine/systems/log.rs
+++ b/crates/core/src/engine/systems/log.rs
@@ -1,6 +1,7 @@
 //! The log: applying batches, proposals on their way into it, and restored states.
 
 use super::super::command::{Command, ProposalError};
+use super::super::event::AppendEnd;
 use super::super::{Engine, Millis, Phase, Ticket};
 use crate::fleet::{Applied, Effect, Fleet, MemberState, VoidReason};
 use crate::ids::{MemberId, Offset};
@@ -83,6 +84,18 @@
         }
     }
 
+    pub(in crate::engine) fn end_append(&mut self, now: Millis, sequence: u64, end: AppendEnd) {
+        for ticket in self.appends.end_append(now, sequence, end) {
+            self.resolve(Some(ticket), Err(ProposalError::Unavailable));
+        }
+    }
+
+    /// Notes that the view is fresh. The log answers, so proposals are tried again.
+    pub(in crate::engine) fn reach_end(&mut self, now: Millis) {
+        self.log_end = Some(now);
+        self.appends.down = false;
+    }
+
     fn resolve(&mut self, ticket: Option<Ticket>, result: Result<(Offset, Effect), ProposalError>) {
         if let Some(ticket) = ticket {
             self.emit(Command::Resolve { ticket, result });
--- a/crates/core/tests/bench/mod.rs
+++ b/crates/core/tests/bench/mod.rs
@@ -14,7 +14,7 @@
 use rattanfall_core::declaration::Declaration;
 use rattanfall_core::engine::command::{Command, ProposalError, Refusal};
 use rattanfall_core::engine::event::{
-    AttemptEnd, List, ListedEntry, Submission, TaskSubmission, WorkerRefusal,
+    AppendEnd, AttemptEnd, List, ListedEntry, Submission, TaskSubmission, WorkerRefusal,
 };
 use rattanfall_core::engine::{Engine, Event, Millis, Options, RequestKey, TICK_MS, Ticket};
 use rattanfall_core::fleet::{Effect, Fleet};
@@ -345,8 +345,12 @@
         if lost {
             self.lose_answers -= 1;
         }
-        let accepted = reachable && !lost;
-        self.node(name).engine.handle(now, Event::AppendEnded { sequence, accepted });
+        let end = match (reachable, lost) {
+            (false, _) => AppendEnd::NotTaken,
+            (true, true) => AppendEnd::Unknown,
+            (true, false) => AppendEnd::Taken,
+        };
+        self.node(name).engine.handle(now, Event::AppendEnded { sequence, end });
     }
 
     fn gossip(&mut self, name: &str, digest: &rattanfall_core::engine::event::Digest) {
--- a/crates/entry/src/platform/appender.rs
+++ b/crates/entry/src/platform/appender.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use rattanfall_core::engine::Event;
+use rattanfall_core::engine::event::AppendEnd;
 use rattanfall_core::record::{Batch, encode};
 use tokio::sync::mpsc;
 
 use super::Platform;
 use crate::shell::Shell;
+use crate::upstreams::CallError;
 
 /// Appends each batch once and reports the end. Only the engine repeats an append: it knows from the log whether the
 /// batch took effect.
@@ -17,6 +19,11 @@
         if let Err(error) = &appended {
             log::warn!(sequence = batch.sequence; "an append was not confirmed: {error}");
         }
-        shell.handle(Event::AppendEnded { sequence: batch.sequence, accepted: appended.is_ok() });
+        let end = match appended {
+            Ok(_) => AppendEnd::Taken,
+            Err(CallError::Unsent) => AppendEnd::NotTaken,
+            Err(CallError::NoAnswer) => AppendEnd::Unknown,
+        };
+        shell.handle(Event::AppendEnded { sequence: batch.sequence, end });
     }
 }
--- a/crates/entry/src/shell/outbox.rs
+++ b/crates/entry/src/shell/outbox.rs
@@ -1,7 +1,7 @@
 //! Commands that other tasks of the process carry out.
 
 use rattanfall_core::engine::command::TaskOrder;
-use rattanfall_core::engine::event::{Digest, TaskAnswer, TaskReport};
+use rattanfall_core::engine::event::{AppendEnd, Digest, TaskAnswer, TaskReport};
 use rattanfall_core::engine::{Command, Event};
 use rattanfall_core::ids::WorkerId;
 use rattanfall_core::record::Batch;
@@ -96,7 +96,7 @@
         let sequence = batch.sequence;
         if self.appends.try_send(batch).is_err() {
             log::error!("the append queue is full; batch {sequence} is handed back");
-            shell.handle(Event::AppendEnded { sequence, accepted: false });
+            shell.handle(Event::AppendEnded { sequence, end: AppendEnd::NotTaken });
         }
     }
 
--- a/crates/entry/tests/processes/stop.rs
+++ b/crates/entry/tests/processes/stop.rs
@@ -6,24 +6,11 @@
 use rstest::rstest;
 use serde_json::json;
 
-use crate::support::{Fleet, Load, Sample, Setup, starts_of, until};
+use crate::support::{Fleet, Load, Setup, assert_uncut, until};
 
 /// Time that the servers take to close idle connections, one second each, with room for a busy machine.
 const CLOSE: Duration = Duration::from_secs(4);
 
-/// Every request that reached a worker must have its whole answer, and every other one must not have run.
-fn assert_uncut(samples: &[Sample], journals: &[rattanfall_standin::worker::JournalPage]) {
-    for sample in samples {
-        let starts = starts_of(journals, &sample.token);
-        assert_eq!(starts, usize::from(sample.is_done()), "{sample:?}");
-    }
-    assert!(
-        samples.iter().filter(|sample| sample.is_done()).count() > 20,
-        "too little load: {}",
-        samples.len()
-    );
-}
-
 /// Guards against a shutdown that cuts requests, leaves the instance in the member list, or does not end.
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -36,6 +23,11 @@
         status.member.filter(|_| running > 0)
     });
     let member = busy.await;
+    until("the load is under way", async || {
+        let served: usize = fleet.journals().await.iter().map(|page| page.entries.len()).sum();
+        (served > 30).then_some(())
+    })
+    .await;
     let stopping = Instant::now();
     fleet.entries[0].process.signal("TERM");
     let exit = fleet.entries[0].process.exit(Duration::from_secs(8) + CLOSE).await;
@@ -62,6 +54,11 @@
         status.workers.iter().any(|worker| worker.running > 0).then_some(())
     })
     .await;
+    until("the load is under way", async || {
+        let served: usize = fleet.journals().await.iter().map(|page| page.entries.len()).sum();
+        (served > 30).then_some(())
+    })
+    .await;
     fleet.faults(json!({ "down": true })).await;
     let stopping = Instant::now();
     fleet.entries[0].process.signal("TERM");
