Compare the platform's list with the log only when one of them changed

Each tick looked up every listed worker by a linear search over all workers' names: workers squared, 20 times a second, and once more for each read of the list. The result is now kept until a read or a log offset changes it, and names are looked up in a hash table.

--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -108,6 +108,9 @@
     judgements: BTreeMap<PoolId, Judgement>,
     planner: Planner,
     list: Option<(Millis, List)>,
+    /// Reads of the list so far.
+    list_reads: u64,
+    comparison: systems::Comparison,
     /// When this process first saw each member and each ended member.
     seen: BTreeMap<MemberId, Millis>,
     gone: BTreeMap<MemberId, Millis>,
@@ -152,6 +155,8 @@
             judgements: BTreeMap::new(),
             planner: Planner::default(),
             list: None,
+            list_reads: 0,
+            comparison: systems::Comparison::default(),
             seen: BTreeMap::new(),
             gone: BTreeMap::new(),
             reboots: BTreeMap::new(),
--- a/crates/core/src/engine/systems/mod.rs
+++ b/crates/core/src/engine/systems/mod.rs
@@ -20,3 +20,4 @@
 mod workers;
 
 pub(super) use duty::Duty;
+pub(super) use workers::Comparison;
--- a/crates/core/src/engine/systems/workers.rs
+++ b/crates/core/src/engine/systems/workers.rs
@@ -1,32 +1,49 @@
 //! Workers: the platform's list, and probes after failed connections.
 
+use std::collections::{HashMap, HashSet};
+
 use super::super::command::Command;
 use super::super::event::List;
 use super::super::{Engine, Millis};
 use super::duty::Duty;
 use crate::fleet::{Worker, WorkerState};
-use crate::ids::WorkerId;
+use crate::ids::{Offset, WorkerId};
 use crate::record::{Record, WorkerSeen};
 
+/// Differences between the list and the log. They change only when one of the two does, so a tick that follows neither
+/// compares nothing: a comparison costs time in proportion to all workers.
+#[derive(Debug, Default)]
+pub(in crate::engine) struct Comparison {
+    /// Read of the list and offset of the log that were compared.
+    of: Option<(u64, Option<Offset>)>,
+    /// Workers that the list shows otherwise than the log.
+    changed: Vec<WorkerSeen>,
+    /// Workers that the list does not show.
+    absent: Vec<WorkerId>,
+}
+
 impl Engine {
     pub(in crate::engine) fn read_list(&mut self, now: Millis, list: List) {
         let older = self.list.as_ref().is_some_and(|(_, last)| last.version > list.version);
         if older {
             return;
         }
-        for seen in &list.workers {
-            if let Some(id) = self.fleet.worker(&seen.name) {
-                self.upstreams.row(id).leaving = seen.leaving;
-            }
+        let names = self.worker_names();
+        let known =
+            list.workers.iter().filter_map(|seen| Some((*names.get(seen.name.as_str())?, seen.leaving)));
+        for (id, leaving) in known.collect::<Vec<_>>() {
+            self.upstreams.row(id).leaving = leaving;
         }
         self.list = Some((now, list));
+        self.list_reads += 1;
     }
 
     pub(in crate::engine) fn run_workers(&mut self, now: Millis) {
         if self.member().is_none() || self.list.is_none() {
             return;
         }
-        let changed = self.changed_workers();
+        self.compare_list();
+        let changed = self.comparison.changed.clone();
         if changed.is_empty() {
             self.clear_duty(Duty::WorkerList);
         } else if self.is_turn(now, Duty::WorkerList) {
@@ -37,11 +54,23 @@
         self.lose_absent_workers(now);
     }
 
-    /// Workers that the list shows otherwise than the log.
+    fn compare_list(&mut self) {
+        let of = Some((self.list_reads, self.fleet.applied));
+        if self.comparison.of != of {
+            let (changed, absent) = (self.changed_workers(), self.absent_workers());
+            self.comparison = Comparison { of, changed, absent };
+        }
+    }
+
+    fn worker_names(&self) -> HashMap<&str, WorkerId> {
+        self.fleet.workers.iter().map(|(id, worker)| (worker.name.as_str(), *id)).collect()
+    }
+
     fn changed_workers(&self) -> Vec<WorkerSeen> {
         let listed = self.list.iter().flat_map(|(_, list)| &list.workers);
+        let names = self.worker_names();
         let changed = |seen: &&WorkerSeen| {
-            let known = self.fleet.worker(&seen.name).map(|id| &self.fleet.workers[&id]);
+            let known = names.get(seen.name.as_str()).map(|id| &self.fleet.workers[id]);
             self.fleet.pool(&seen.pool).is_some() && known.is_none_or(|worker| differs(worker, seen))
         };
         listed.filter(changed).cloned().collect()
@@ -49,7 +78,7 @@
 
     /// Writes off workers that the list has not shown for the longest lag of the list.
     fn lose_absent_workers(&mut self, now: Millis) {
-        let absent: Vec<WorkerId> = self.absent_workers().collect();
+        let absent = self.comparison.absent.clone();
         self.absent.retain(|id, _| absent.contains(id));
         for worker in absent {
             let since = *self.absent.entry(worker).or_insert(now);
@@ -60,11 +89,11 @@
         }
     }
 
-    fn absent_workers(&self) -> impl Iterator<Item = WorkerId> + '_ {
+    fn absent_workers(&self) -> Vec<WorkerId> {
         let listed = self.list.iter().flat_map(|(_, list)| &list.workers);
-        let names: std::collections::BTreeSet<&str> = listed.map(|seen| seen.name.as_str()).collect();
+        let names: HashSet<&str> = listed.map(|seen| seen.name.as_str()).collect();
         let known = self.fleet.workers.iter().filter(|(_, w)| w.state != WorkerState::Lost);
-        known.filter(move |(_, w)| !names.contains(w.name.as_str())).map(|(id, _)| *id)
+        known.filter(|(_, w)| !names.contains(w.name.as_str())).map(|(id, _)| *id).collect()
     }
 
     /// Asks for a fresh connection to a worker, unless a probe is under way.
