--- a/crates/core/examples/slopes/measure.rs
+++ b/crates/core/examples/slopes/measure.rs
@@ -9,6 +9,8 @@
 use crate::rig::{Rig, declaration, pairs};
 use crate::sizes::Size;
 
+/// Digests of each member in a second.
+const DIGESTS: u32 = 4;
 /// Ticks of one measured block: one second of operation, which holds every periodic task.
 const BLOCK: u32 = 20;
 /// Time after which no further block is measured, in microseconds.
@@ -44,6 +46,7 @@
     let mut rig = Rig::new(size);
     let state_kb = state_memory(rig.engine.fleet());
     let (tick, appended) = tick_cost(&mut rig);
+    let second = second_cost(&mut rig);
     let request = request_cost(&mut rig);
     let list = list_cost(&mut rig);
     let batch = batch_cost(&mut rig);
@@ -52,7 +55,7 @@
     let tasks = rig.engine.fleet().tasks.values().filter(|task| task.attempts > 0).count();
     [
         tick,
-        tick * f64::from(BLOCK) / 1e3,
+        second,
         request,
         list,
         batch,
@@ -79,6 +82,25 @@
     (lowest(blocks) / f64::from(BLOCK), appended)
 }
 
+/// Processor time of one second of operation, in milliseconds: the ticks, the digests of all other members, and one read
+/// of the platform's list.
+fn second_cost(rig: &mut Rig) -> f64 {
+    let mut seconds = Vec::new();
+    for _ in 0..REPEATS {
+        let list = rig.list();
+        let rounds: Vec<_> = (0..DIGESTS).map(|_| rig.peer_digests()).collect();
+        seconds.push(time(|| {
+            rig.engine.handle(rig.now, Event::List(list));
+            for digests in rounds {
+                digests.into_iter().for_each(|d| rig.engine.handle(rig.now, Event::Digest(d)));
+                (0..BLOCK / DIGESTS).for_each(|_| rig.tick());
+            }
+        }));
+        rig.settle();
+    }
+    lowest(seconds) / 1e3
+}
+
 /// Processor time from the submission of a request to its end.
 fn request_cost(rig: &mut Rig) -> f64 {
     let pairs: Vec<(u32, u32)> = pairs(rig.size).collect();
--- a/crates/core/src/engine/systems/log.rs
+++ b/crates/core/src/engine/systems/log.rs
@@ -14,7 +14,9 @@
             return;
         }
         let applied = self.fleet.apply(offset, batch);
-        self.upstreams.index(&self.fleet);
+        if batch.records.iter().any(changes_workers) {
+            self.upstreams.index(&self.fleet);
+        }
         if applied.duplicate {
             self.counters.duplicate_batches += 1;
         }
@@ -179,3 +181,23 @@
         own.map(|(id, _)| *id)
     }
 }
+
+/// False for the frequent records that leave every worker as it is, so that the index by pool stays valid.
+const fn changes_workers(record: &Record) -> bool {
+    !matches!(
+        record,
+        Record::Progress { .. }
+            | Record::KeyGranted { .. }
+            | Record::KeyWithdrawn { .. }
+            | Record::HoldClaim { .. }
+            | Record::HoldGive { .. }
+            | Record::HoldRelease { .. }
+            | Record::HoldReclaim { .. }
+            | Record::TaskAccepted(_)
+            | Record::TaskStarted { .. }
+            | Record::TaskRequeued { .. }
+            | Record::TaskEnded { .. }
+            | Record::TaskCancelled { .. }
+            | Record::SnapshotPart(_)
+    )
+}
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -7,6 +7,7 @@
 
 use super::super::{Engine, Millis};
 use super::duty::Duty;
+use super::sharing::Capacity;
 use crate::fleet::WorkerState;
 use crate::ids::{MemberId, PoolId, TeamId, WorkerId};
 use crate::policy::surge::{Move, PoolLoad, WorkerLoad, choose};
@@ -17,9 +18,7 @@
         let Some(me) = self.member() else {
             return;
         };
-        let running = self.shares.running_by_team();
-        let pools = self.fleet.pools.keys();
-        let loads: Vec<PoolLoad> = pools.map(|pool| self.pool_load(*pool, &running)).collect();
+        let loads = self.pool_loads();
         let planned = self.planner.plan(now, &loads);
         let (true, Some(planned)) = (self.leads_moves(me), planned) else {
             return;
@@ -40,20 +39,27 @@
         !self.peers.heard().filter(live).any(|id| self.rank(id, Duty::Moves) < own)
     }
 
-    fn pool_load(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
+    fn pool_loads(&self) -> Vec<PoolLoad> {
+        let running = self.shares.running_by_team();
+        let capacities = self.capacities();
+        let load = |pool: &PoolId| {
+            let capacity = capacities.get(pool).copied().unwrap_or_default();
+            self.pool_load(*pool, capacity, &running)
+        };
+        self.fleet.pools.keys().map(load).collect()
+    }
+
+    fn pool_load(&self, pool: PoolId, capacity: Capacity, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
         let row = &self.fleet.pools[&pool];
-        let workers = self.fleet.workers.values();
-        let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
-        let serving = self.fleet.serving(pool);
-        let capacity = self.capacity(pool);
+        let Capacity { serving, arriving, slots } = capacity;
         let (running, waiting) = self.pool_work(pool, team_running);
         PoolLoad {
             pool,
             spare: row.spare,
             serving,
-            arriving: u32::try_from(arriving.count()).unwrap_or(u32::MAX),
+            arriving,
             min_serving: row.min_serving,
-            slots: capacity.checked_div(serving).unwrap_or(0),
+            slots: slots.checked_div(serving).unwrap_or(0),
             running,
             waiting,
             run_ms: self.upstreams.run_time(pool),
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -5,25 +5,46 @@
 use super::super::event::Load;
 use super::super::shares::{Sum, TeamLoad};
 use super::super::{Engine, Millis};
+use crate::fleet::WorkerState;
 use crate::ids::{MemberId, PoolId, TeamId};
 
+/// What the workers of one pool can take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Capacity {
+    /// Workers that take work according to the log.
+    pub(super) serving: u32,
+    /// Workers on their way into the pool.
+    pub(super) arriving: u32,
+    /// Slots of the workers that take work according to the log and all peers.
+    pub(super) slots: u32,
+}
+
 impl Engine {
     pub(in crate::engine) fn run_shares(&mut self, now: Millis) {
         let Some(me) = self.member() else {
             return;
         };
         let mut loads = self.member_loads(me);
+        let capacities = self.capacities();
         for pool in self.fleet.pools.keys().copied().collect::<Vec<_>>() {
-            let capacity = self.capacity(pool);
+            let capacity = capacities.get(&pool).map_or(0, |pool| pool.slots);
             let teams = self.team_loads(pool, &mut loads);
             self.shares.update(now, me, pool, capacity, &teams);
         }
     }
 
-    /// Slots of the workers of a pool that take work.
-    pub(super) fn capacity(&self, pool: PoolId) -> u32 {
-        let workers = self.fleet.workers.values().filter(|w| w.pool == pool && self.may_use(w));
-        workers.map(|w| w.slots).sum()
+    /// Capacity of each pool, in one pass over the workers.
+    pub(super) fn capacities(&self) -> BTreeMap<PoolId, Capacity> {
+        let mut capacities: BTreeMap<PoolId, Capacity> = BTreeMap::new();
+        for worker in self.fleet.workers.values() {
+            let pool = capacities.entry(worker.pool).or_default();
+            pool.serving += u32::from(self.fleet.takes_work(worker));
+            pool.slots += if self.may_use(worker) { worker.slots } else { 0 };
+            if let WorkerState::Moving { to, .. } = worker.state {
+                capacities.entry(to).or_default().arriving += 1;
+            }
+        }
+        capacities
     }
 
     fn member_loads(&self, me: MemberId) -> BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>> {
