Read due and stopped workers from the index and sum waiting work once per tick

Waves, barriers and reboots passed over all workers on each tick, waves once for each pool, although workers change only with a batch. Holds scanned all queues for each team, twice.

--- a/crates/core/src/engine/requests/mod.rs
+++ b/crates/core/src/engine/requests/mod.rs
@@ -97,9 +97,13 @@
         self.queues.get(&(pool, team)).map_or(0, TeamQueue::len)
     }
 
-    /// Waiting work of a team in all pools.
-    pub(super) fn waiting_of(&self, team: TeamId) -> u32 {
-        self.queues.iter().filter(|((_, t), _)| *t == team).map(|(_, queue)| queue.len()).sum()
+    /// Waiting work of each team in all pools.
+    pub(super) fn waiting_by_team(&self) -> BTreeMap<TeamId, u32> {
+        let mut waiting = BTreeMap::new();
+        for ((_, team), queue) in &self.queues {
+            *waiting.entry(*team).or_default() += queue.len();
+        }
+        waiting
     }
 }
 
--- a/crates/core/src/engine/systems/gossip.rs
+++ b/crates/core/src/engine/systems/gossip.rs
@@ -38,8 +38,7 @@
     }
 
     fn wanted(&self, me: MemberId) -> Vec<(TeamId, u32)> {
-        let lacking = self.fleet.teams.keys().map(|team| (*team, self.lacking(me, *team)));
-        lacking.filter(|(_, slots)| *slots > 0).collect()
+        self.lacking(me).collect()
     }
 
     fn suspects(&self) -> Vec<WorkerId> {
--- a/crates/core/src/engine/systems/holding.rs
+++ b/crates/core/src/engine/systems/holding.rs
@@ -4,6 +4,8 @@
 //! members with spare slots give it half of them. Idle surplus above the floor is released after a while, so that
 //! floors fill again. Only records of the log move holds; in an outage everyone keeps what it holds.
 
+use std::collections::BTreeMap;
+
 use super::super::{Engine, Millis};
 use super::duty::Duty;
 use crate::ids::{MemberId, TeamId};
@@ -24,13 +26,13 @@
             return;
         }
         let teams: Vec<TeamId> = self.fleet.teams.keys().copied().collect();
+        let lacking: BTreeMap<TeamId, u32> = self.lacking(me).collect();
         for team in teams {
-            self.balance(now, me, team);
+            self.balance(now, me, team, lacking.get(&team).copied().unwrap_or(0));
         }
     }
 
-    fn balance(&mut self, now: Millis, me: MemberId, team: TeamId) {
-        let needed = self.lacking(me, team);
+    fn balance(&mut self, now: Millis, me: MemberId, team: TeamId, needed: u32) {
         if needed > 0 {
             self.needs.insert(team, now);
         }
@@ -45,10 +47,14 @@
         }
     }
 
-    /// Slots that waiting work of the team lacks at this member.
-    pub(super) fn lacking(&self, me: MemberId, team: TeamId) -> u32 {
-        let waiting = self.requests.waiting_of(team);
-        waiting.saturating_sub(self.uses.spare(team, self.fleet.hold(team, me)))
+    /// Slots that waiting work lacks at this member, by team; teams that lack none are left out.
+    pub(super) fn lacking(&self, me: MemberId) -> impl Iterator<Item = (TeamId, u32)> + '_ {
+        let lacks = move |(team, waiting): (TeamId, u32)| {
+            let spare = self.uses.spare(team, self.fleet.hold(team, me));
+            (team, waiting.saturating_sub(spare))
+        };
+        let waiting = self.requests.waiting_by_team().into_iter();
+        waiting.map(lacks).filter(|(_, slots)| *slots > 0)
     }
 
     fn has_pending(&self, team: TeamId) -> bool {
--- a/crates/core/src/engine/systems/maintenance.rs
+++ b/crates/core/src/engine/systems/maintenance.rs
@@ -40,7 +40,7 @@
 
     /// Workers that are draining or moving, with the offset of the record that stopped them.
     fn stops(&self) -> impl Iterator<Item = (Offset, WorkerId)> + '_ {
-        self.fleet.workers.iter().filter_map(|(id, worker)| match worker.state {
+        self.upstreams.stopped().iter().filter_map(|id| match self.fleet.workers[id].state {
             WorkerState::Draining(since) | WorkerState::Moving { since, .. } => Some((since, *id)),
             _ => None,
         })
@@ -60,9 +60,7 @@
     }
 
     fn next_due(&self, pool: PoolId) -> Option<WorkerId> {
-        let due = self.fleet.workers.iter().filter(|(_, w)| w.pool == pool && w.due);
-        let mut serving = due.filter(|(_, w)| w.state == WorkerState::Serving);
-        serving.find(|(id, _)| self.fleet.can_drain(**id)).map(|(id, _)| *id)
+        self.upstreams.due(pool).iter().copied().find(|id| self.fleet.can_drain(*id))
     }
 
     fn drains_pending(&self, pool: PoolId) -> usize {
@@ -90,8 +88,8 @@
 
     /// Orders the reboot of workers under maintenance. The member that orders it also ends the maintenance.
     fn run_reboots(&mut self, now: Millis) {
-        let in_maintenance = self.fleet.workers.iter().filter(|(_, w)| w.state == WorkerState::Maintenance);
-        let workers: Vec<WorkerId> = in_maintenance.map(|(id, _)| *id).collect();
+        let reboots = |id: &WorkerId| self.fleet.workers[id].state == WorkerState::Maintenance;
+        let workers: Vec<WorkerId> = self.upstreams.stopped().iter().copied().filter(reboots).collect();
         self.reboots.retain(|id, _| workers.contains(id));
         for worker in workers {
             self.clear_duty(Duty::Barrier(worker));
--- a/crates/core/src/engine/upstreams/mod.rs
+++ b/crates/core/src/engine/upstreams/mod.rs
@@ -48,6 +48,10 @@
     pub(super) rows: BTreeMap<WorkerId, Upstream>,
     /// Workers of each pool that are not lost.
     pools: BTreeMap<PoolId, Vec<WorkerId>>,
+    /// Serving workers of each pool that a maintenance wave has not reached.
+    due: BTreeMap<PoolId, Vec<WorkerId>>,
+    /// Workers that are neither serving nor lost.
+    stopped: Vec<WorkerId>,
     racks: BTreeMap<String, u32>,
     /// Own running work of each team in each rack.
     spread: BTreeMap<(TeamId, u32), u32>,
@@ -79,13 +83,34 @@
         self.pools.get(&pool).map_or(&[], Vec::as_slice)
     }
 
-    /// Rebuilds the index by pool and rack after the replicated state changed.
+    /// Serving workers of a pool that a maintenance wave has not reached.
+    pub(super) fn due(&self, pool: PoolId) -> &[WorkerId] {
+        self.due.get(&pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Workers that are neither serving nor lost.
+    pub(super) fn stopped(&self) -> &[WorkerId] {
+        &self.stopped
+    }
+
+    /// Rebuilds the index by pool, rack and life cycle after the replicated state changed. Ticks read the index, so
+    /// that they do not pass over all workers.
     pub(super) fn index(&mut self, fleet: &Fleet) {
         self.pools.clear();
+        self.due.clear();
+        self.stopped.clear();
         for (id, worker) in fleet.workers.iter().filter(|(_, w)| w.state != WorkerState::Lost) {
             self.pools.entry(worker.pool).or_default().push(*id);
-            let next = u32::try_from(self.racks.len()).unwrap_or(u32::MAX);
-            let rack = *self.racks.entry(worker.rack.clone()).or_insert(next);
+            if worker.state != WorkerState::Serving {
+                self.stopped.push(*id);
+            } else if worker.due {
+                self.due.entry(worker.pool).or_default().push(*id);
+            }
+            let rack = self.racks.get(&worker.rack).copied().unwrap_or_else(|| {
+                let next = u32::try_from(self.racks.len()).unwrap_or(u32::MAX);
+                self.racks.insert(worker.rack.clone(), next);
+                next
+            });
             self.rows.entry(*id).or_default().rack = rack;
         }
     }
