--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -1,6 +1,6 @@
 //! Table of what each team uses and is owed in each pool, over the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Millis;
 use super::event::Load;
@@ -49,10 +49,15 @@
     part: Option<u32>,
 }
 
-/// Shares of all teams.
+/// Shares of the teams that have or had work. A pair of pool and team without a row uses nothing and is owed nothing,
+/// so the cost of a tick follows the pairs with work, not pools times teams.
 #[derive(Debug, Default)]
 pub(super) struct Shares {
     pub(super) rows: BTreeMap<(PoolId, TeamId), Row>,
+    /// Pools in which more work is asked for than they hold.
+    full: BTreeSet<PoolId>,
+    /// Time of the last update.
+    updated: Millis,
 }
 
 /// Work of one team in one pool, by member.
@@ -93,7 +98,24 @@
 
 impl Shares {
     pub(super) fn row(&mut self, pool: PoolId, team: TeamId) -> &mut Row {
-        self.rows.entry((pool, team)).or_default()
+        let part = self.newcomer_part(pool);
+        let updated = self.updated;
+        self.rows.entry((pool, team)).or_insert_with(|| Row::new(updated, part))
+    }
+
+    /// Part of a team without a row: nothing of a full pool until the next update counts its work.
+    fn newcomer_part(&self, pool: PoolId) -> Option<u32> {
+        self.full.contains(&pool).then_some(0)
+    }
+
+    /// Teams that have or had work in a pool.
+    pub(super) fn teams(&self, pool: PoolId) -> impl Iterator<Item = TeamId> + '_ {
+        self.rows.range((pool, TeamId(0))..=(pool, TeamId(u32::MAX))).map(|((_, team), _)| *team)
+    }
+
+    /// Notes that all pools were updated.
+    pub(super) fn end_update(&mut self, now: Millis) {
+        self.updated = now;
     }
 
     /// Accounts for the use since the last call and computes entitlements and this member's parts for one pool.
@@ -112,6 +134,11 @@
         }
         let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
         let full = usable > u64::from(capacity);
+        if full {
+            self.full.insert(pool);
+        } else {
+            self.full.remove(&pool);
+        }
         let candidates: Vec<Candidate> = teams.iter().map(|load| self.candidate(pool, load.team)).collect();
         let quotas = quotas(capacity + unused(capacity, &candidates), &candidates);
         for (load, quota) in teams.iter().zip(quotas) {
@@ -121,13 +148,12 @@
 
     /// True if this member may start one more piece of work of the team without taking a slot that others are owed.
     pub(super) fn allows(&self, pool: PoolId, team: TeamId) -> bool {
-        let row = self.rows.get(&(pool, team));
-        row.is_none_or(|row| row.part.is_none_or(|part| row.running < part))
+        self.own_part(pool, team).is_none_or(|part| self.own_running(pool, team) < part)
     }
 
     /// Slots that this member may use while others wait; `None` if the pool is not full.
     pub(super) fn own_part(&self, pool: PoolId, team: TeamId) -> Option<u32> {
-        self.rows.get(&(pool, team)).and_then(|row| row.part)
+        self.rows.get(&(pool, team)).map_or_else(|| self.newcomer_part(pool), |row| row.part)
     }
 
     /// Own running work of a team in a pool.
@@ -168,6 +194,12 @@
 }
 
 impl Row {
+    /// A row without work whose use is counted from `updated` on.
+    fn new(updated: Millis, part: Option<u32>) -> Self {
+        let usage = Usage::new(updated.0);
+        Self { updated, used: usage, owed: usage, part, ..Self::default() }
+    }
+
     fn account(&mut self, now: Millis, me: MemberId, load: &TeamLoad, usable: u32, owed_now: f64) {
         let total = load.total();
         self.used.advance(now.0, f64::from(total.running));
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -72,9 +72,12 @@
     /// Work of a pool over the fleet; waiting work that an upper limit holds back is left out.
     fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> Sum {
         let mut work = Sum::default();
-        for (id, team) in &self.fleet.teams {
-            let sum = self.shares.total(pool, *id);
-            let used = team_running.get(id).copied().unwrap_or(0);
+        for id in self.shares.teams(pool) {
+            let Some(team) = self.fleet.teams.get(&id) else {
+                continue;
+            };
+            let sum = self.shares.total(pool, id);
+            let used = team_running.get(&id).copied().unwrap_or(0);
             work.running += sum.running;
             work.waiting += sum.waiting.min(team.limit.saturating_sub(used));
             work.offered += sum.offered;
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -1,6 +1,6 @@
 //! Shares: sums the load of all members and updates what each team uses, is owed and may start here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::super::event::Load;
 use super::super::shares::{Sum, TeamLoad};
@@ -34,6 +34,7 @@
             let teams = self.team_loads(pool, &mut loads);
             self.shares.update(now, me, pool, capacity, &teams);
         }
+        self.shares.end_update(now);
     }
 
     /// Capacity of each pool, in one pass over the workers.
@@ -68,14 +69,15 @@
         pool: PoolId,
         loads: &mut BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>>,
     ) -> Vec<TeamLoad> {
-        let team_load = |(id, team): (&TeamId, &crate::fleet::Team)| TeamLoad {
-            team: *id,
-            share: team.share,
-            limit: team.limit,
-            members: loads.remove(&(pool, *id)).unwrap_or_default(),
-            sent: self.sent_load(pool, *id),
+        let heard = loads.range((pool, TeamId(0))..=(pool, TeamId(u32::MAX))).map(|((_, team), _)| *team);
+        let teams: BTreeSet<TeamId> = self.shares.teams(pool).chain(heard).collect();
+        let team_load = |id: TeamId| {
+            let team = self.fleet.teams.get(&id)?;
+            let members = loads.remove(&(pool, id)).unwrap_or_default();
+            let sent = self.sent_load(pool, id);
+            Some(TeamLoad { team: id, share: team.share, limit: team.limit, members, sent })
         };
-        self.fleet.teams.iter().map(team_load).collect()
+        teams.into_iter().filter_map(team_load).collect()
     }
 
     fn sent_load(&self, pool: PoolId, team: TeamId) -> Sum {
