--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -111,6 +111,7 @@
     /// Reads of the list so far.
     list_reads: u64,
     comparison: systems::Comparison,
+    capacities: systems::Capacities,
     /// When this process first saw each member and each ended member.
     seen: BTreeMap<MemberId, Millis>,
     gone: BTreeMap<MemberId, Millis>,
@@ -157,6 +158,7 @@
             list: None,
             list_reads: 0,
             comparison: systems::Comparison::default(),
+            capacities: systems::Capacities::default(),
             seen: BTreeMap::new(),
             gone: BTreeMap::new(),
             reboots: BTreeMap::new(),
--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -65,7 +65,8 @@
     pub(super) team: TeamId,
     pub(super) share: u32,
     pub(super) limit: u32,
-    pub(super) members: BTreeMap<MemberId, Sum>,
+    /// In the order of member ids, which is the same at every member.
+    pub(super) members: Vec<(MemberId, Sum)>,
     /// Own work as the last digest said. Members split a quota by the figures that all of them know, so that their
     /// parts add up to it.
     pub(super) sent: Sum,
@@ -73,20 +74,28 @@
 
 impl TeamLoad {
     fn total(&self) -> Sum {
-        let add = |a: Sum, b: &Sum| Sum {
+        let add = |a: Sum, (_, b): &(MemberId, Sum)| Sum {
             running: a.running + b.running,
             waiting: a.waiting + b.waiting,
             offered: a.offered + b.offered,
         };
-        self.members.values().fold(Sum::default(), add)
+        self.members.iter().fold(Sum::default(), add)
+    }
+
+    fn position(&self, member: MemberId) -> Result<usize, usize> {
+        self.members.binary_search_by_key(&member, |(id, _)| *id)
+    }
+
+    fn running_at(&self, member: MemberId) -> u32 {
+        self.position(member).map_or(0, |index| self.members[index].1.running)
     }
 
     /// This member's part of a quota.
     fn own_part(&self, me: MemberId, quota: u32) -> u32 {
         let sent = self.sent.running + self.sent.waiting > 0;
-        let known = |(id, sum): (&MemberId, &Sum)| if *id == me && sent { self.sent } else { *sum };
+        let known = |(id, sum): &(MemberId, Sum)| if *id == me && sent { self.sent } else { *sum };
         let own: Vec<u32> = self.members.iter().map(known).map(|sum| sum.running + sum.waiting).collect();
-        let index = self.members.keys().position(|id| *id == me);
+        let index = self.position(me).ok();
         index.map_or(0, |index| part(quota, &own, index))
     }
 
@@ -206,7 +215,7 @@
         self.owed.advance(now.0, owed_now);
         self.owed_now = owed_now;
         self.usable = usable;
-        self.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
+        self.peers = total.running.saturating_sub(load.running_at(me));
         self.waiting = total.waiting;
         self.offered_by_all = total.offered;
         self.learn_offered(now);
--- a/crates/core/src/engine/systems/mod.rs
+++ b/crates/core/src/engine/systems/mod.rs
@@ -20,4 +20,5 @@
 mod workers;
 
 pub(super) use duty::Duty;
+pub(super) use sharing::Capacities;
 pub(super) use workers::Comparison;
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -42,11 +42,7 @@
 
     fn pool_loads(&self) -> Vec<PoolLoad> {
         let running = self.shares.running_by_team();
-        let capacities = self.capacities();
-        let load = |pool: &PoolId| {
-            let capacity = capacities.get(pool).copied().unwrap_or_default();
-            self.pool_load(*pool, capacity, &running)
-        };
+        let load = |pool: &PoolId| self.pool_load(*pool, self.capacity(*pool), &running);
         self.fleet.pools.keys().map(load).collect()
     }
 
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -6,7 +6,7 @@
 use super::super::shares::{Sum, TeamLoad};
 use super::super::{Engine, Millis};
 use crate::fleet::WorkerState;
-use crate::ids::{MemberId, PoolId, TeamId};
+use crate::ids::{MemberId, Offset, PoolId, TeamId, ZoneId};
 
 /// What the workers of one pool can take.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,23 +22,49 @@
 /// Arriving work below which a load is left out of the digest, in slots.
 const LEAST_OFFERED: f64 = 0.05;
 
+/// Work by pool, team and member, in the order of ids.
+type MemberLoads = BTreeMap<(PoolId, TeamId), Vec<(MemberId, Sum)>>;
+
+/// Capacities with what they follow from: the offset of the log and the removals that peers know.
+#[derive(Debug, Default)]
+pub(in crate::engine) struct Capacities {
+    of: Option<(Option<Offset>, BTreeMap<ZoneId, u64>)>,
+    pools: BTreeMap<PoolId, Capacity>,
+}
+
 impl Engine {
     pub(in crate::engine) fn run_shares(&mut self, now: Millis) {
         let Some(me) = self.member() else {
             return;
         };
         let mut loads = self.member_loads(me);
-        let capacities = self.capacities();
+        self.update_capacities();
         for pool in self.fleet.pools.keys().copied().collect::<Vec<_>>() {
-            let capacity = capacities.get(&pool).map_or(0, |pool| pool.slots);
+            let capacity = self.capacity(pool).slots;
             let teams = self.team_loads(pool, &mut loads);
             self.shares.update(now, me, pool, capacity, &teams);
         }
         self.shares.end_update(now);
     }
 
+    /// Capacity of a pool, as of this tick.
+    pub(super) fn capacity(&self, pool: PoolId) -> Capacity {
+        self.capacities.pools.get(&pool).copied().unwrap_or_default()
+    }
+
+    /// Counts the capacities again if the log or a peer's removals may have changed them.
+    fn update_capacities(&mut self) {
+        let same = |(offset, removed): &(Option<Offset>, BTreeMap<ZoneId, u64>)| {
+            *offset == self.fleet.applied && *removed == self.peers.removed
+        };
+        if !self.capacities.of.as_ref().is_some_and(same) {
+            let of = Some((self.fleet.applied, self.peers.removed.clone()));
+            self.capacities = Capacities { of, pools: self.count_capacities() };
+        }
+    }
+
     /// Capacity of each pool, in one pass over the workers.
-    pub(super) fn capacities(&self) -> BTreeMap<PoolId, Capacity> {
+    fn count_capacities(&self) -> BTreeMap<PoolId, Capacity> {
         let mut capacities: BTreeMap<PoolId, Capacity> = BTreeMap::new();
         for worker in self.fleet.workers.values() {
             let pool = capacities.entry(worker.pool).or_default();
@@ -51,24 +77,23 @@
         capacities
     }
 
-    fn member_loads(&self, me: MemberId) -> BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>> {
-        let mut loads: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
+    fn member_loads(&self, me: MemberId) -> MemberLoads {
+        let mut loads = MemberLoads::new();
         for (member, load) in self.peers.loads().filter(|(member, _)| *member != me) {
             let sum = Sum::from(load);
-            loads.entry((load.pool, load.team)).or_default().insert(member, sum);
+            loads.entry((load.pool, load.team)).or_default().push((member, sum));
         }
         for load in &self.own_loads() {
             let sum = Sum::from(load);
-            loads.entry((load.pool, load.team)).or_default().insert(me, sum);
+            let members = loads.entry((load.pool, load.team)).or_default();
+            // The peers come in the order of their ids.
+            let place = members.partition_point(|(member, _)| *member < me);
+            members.insert(place, (me, sum));
         }
         loads
     }
 
-    fn team_loads(
-        &self,
-        pool: PoolId,
-        loads: &mut BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>>,
-    ) -> Vec<TeamLoad> {
+    fn team_loads(&self, pool: PoolId, loads: &mut MemberLoads) -> Vec<TeamLoad> {
         let heard = loads.range((pool, TeamId(0))..=(pool, TeamId(u32::MAX))).map(|((_, team), _)| *team);
         let teams: BTreeSet<TeamId> = self.shares.teams(pool).chain(heard).collect();
         let team_load = |id: TeamId| {
