--- a/crates/core/src/engine/peers/mod.rs
+++ b/crates/core/src/engine/peers/mod.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     rows: BTreeMap<MemberId, (Millis, Digest)>,
+    /// Workers that some peer suspects. Each placement asks about all workers of a pool.
+    suspected: BTreeSet<WorkerId>,
     /// Withdrawn keys that some member knows.
     pub(super) withdrawn: BTreeSet<KeyId>,
     /// Highest removal per zone that some member knows, by the zone's version.
@@ -26,13 +28,25 @@
         }
         let newer = self.rows.get(&digest.member).is_none_or(|(_, old)| old.number < digest.number);
         if newer {
-            self.rows.insert(digest.member, (now, digest));
+            let suspects = digest.suspects.clone();
+            let old = self.rows.insert(digest.member, (now, digest));
+            if old.map_or_else(Vec::new, |(_, old)| old.suspects) != suspects {
+                self.collect_suspects();
+            }
         }
     }
 
+    fn collect_suspects(&mut self) {
+        self.suspected = self.rows.values().flat_map(|(_, digest)| &digest.suspects).copied().collect();
+    }
+
     /// Drops digests that are older than `ttl_ms`.
     pub(super) fn expire(&mut self, now: Millis, ttl_ms: u64) {
+        let before = self.rows.len();
         self.rows.retain(|_, (heard, _)| now.since(*heard) <= ttl_ms);
+        if self.rows.len() < before {
+            self.collect_suspects();
+        }
     }
 
     /// Members that were heard lately.
@@ -54,6 +68,6 @@
 
     /// True if a peer suspects the worker.
     pub(super) fn suspects(&self, worker: WorkerId) -> bool {
-        self.rows.values().any(|(_, digest)| digest.suspects.contains(&worker))
+        self.suspected.contains(&worker)
     }
 }
