--- a/crates/core/src/engine/requests/mod.rs
+++ b/crates/core/src/engine/requests/mod.rs
@@ -99,15 +99,19 @@
         self.queues.get(&(pool, team)).map_or(0, TeamQueue::len)
     }
 
+    /// Waiting work of each team in all pools.
+    pub(super) fn waiting_by_team(&self) -> BTreeMap<TeamId, u32> {
+        let mut waiting = BTreeMap::new();
+        for ((_, team), queue) in &self.queues {
+            *waiting.entry(*team).or_default() += queue.len();
+        }
+        waiting
+    }
+
     /// Waiting work that a new request of a class starts after.
     pub(super) fn ahead(&self, pool: PoolId, team: TeamId, class: Class) -> u32 {
         self.queues.get(&(pool, team)).map_or(0, |queue| queue.ahead(class))
     }
-
-    /// Waiting work of a team in all pools.
-    pub(super) fn waiting_of(&self, team: TeamId) -> u32 {
-        self.queues.iter().filter(|((_, t), _)| *t == team).map(|(_, queue)| queue.len()).sum()
-    }
 }
 
 impl Requests {
--- a/crates/core/src/engine/shares/mod.rs
+++ b/crates/core/src/engine/shares/mod.rs
@@ -1,6 +1,6 @@
 //! Table of what each team uses and is owed in each pool, over the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Millis;
 use super::event::Load;
@@ -49,10 +49,15 @@
     part: Option<u32>,
 }
 
-/// Shares of all teams.
+/// Shares of the teams that have or had work. A pair of pool and team without a row uses nothing and is owed nothing,
+/// so the cost of a tick follows the pairs with work, not pools times teams.
 #[derive(Debug, Default)]
 pub(super) struct Shares {
     pub(super) rows: BTreeMap<(PoolId, TeamId), Row>,
+    /// Pools in which more work is asked for than they hold.
+    full: BTreeSet<PoolId>,
+    /// Time of the last update.
+    updated: Millis,
 }
 
 /// Work of one team in one pool, by member.
@@ -60,7 +65,8 @@
     pub(super) team: TeamId,
     pub(super) share: u32,
     pub(super) limit: u32,
-    pub(super) members: BTreeMap<MemberId, Sum>,
+    /// In the order of member ids, which is the same at every member.
+    pub(super) members: Vec<(MemberId, Sum)>,
     /// Own work as the last digest said. Members split a quota by the figures that all of them know, so that their
     /// parts add up to it.
     pub(super) sent: Sum,
@@ -68,20 +74,28 @@
 
 impl TeamLoad {
     fn total(&self) -> Sum {
-        let add = |a: Sum, b: &Sum| Sum {
+        let add = |a: Sum, (_, b): &(MemberId, Sum)| Sum {
             running: a.running + b.running,
             waiting: a.waiting + b.waiting,
             offered: a.offered + b.offered,
         };
-        self.members.values().fold(Sum::default(), add)
+        self.members.iter().fold(Sum::default(), add)
+    }
+
+    fn position(&self, member: MemberId) -> Result<usize, usize> {
+        self.members.binary_search_by_key(&member, |(id, _)| *id)
+    }
+
+    fn running_at(&self, member: MemberId) -> u32 {
+        self.position(member).map_or(0, |index| self.members[index].1.running)
     }
 
     /// This member's part of a quota.
     fn own_part(&self, me: MemberId, quota: u32) -> u32 {
         let sent = self.sent.running + self.sent.waiting > 0;
-        let known = |(id, sum): (&MemberId, &Sum)| if *id == me && sent { self.sent } else { *sum };
+        let known = |(id, sum): &(MemberId, Sum)| if *id == me && sent { self.sent } else { *sum };
         let own: Vec<u32> = self.members.iter().map(known).map(|sum| sum.running + sum.waiting).collect();
-        let index = self.members.keys().position(|id| *id == me);
+        let index = self.position(me).ok();
         index.map_or(0, |index| part(quota, &own, index))
     }
 
@@ -93,7 +107,24 @@
 
 impl Shares {
     pub(super) fn row(&mut self, pool: PoolId, team: TeamId) -> &mut Row {
-        self.rows.entry((pool, team)).or_default()
+        let part = self.newcomer_part(pool);
+        let updated = self.updated;
+        self.rows.entry((pool, team)).or_insert_with(|| Row::new(updated, part))
+    }
+
+    /// Part of a team without a row: nothing of a full pool until the next update counts its work.
+    fn newcomer_part(&self, pool: PoolId) -> Option<u32> {
+        self.full.contains(&pool).then_some(0)
+    }
+
+    /// Teams that have or had work in a pool.
+    pub(super) fn teams(&self, pool: PoolId) -> impl Iterator<Item = TeamId> + '_ {
+        self.rows.range((pool, TeamId(0))..=(pool, TeamId(u32::MAX))).map(|((_, team), _)| *team)
+    }
+
+    /// Notes that all pools were updated.
+    pub(super) fn end_update(&mut self, now: Millis) {
+        self.updated = now;
     }
 
     /// Accounts for the use since the last call and computes entitlements and this member's parts for one pool.
@@ -112,6 +143,11 @@
         }
         let usable: u64 = demands.iter().map(|d| u64::from(d.usable())).sum();
         let full = usable > u64::from(capacity);
+        if full {
+            self.full.insert(pool);
+        } else {
+            self.full.remove(&pool);
+        }
         let candidates: Vec<Candidate> = teams.iter().map(|load| self.candidate(pool, load.team)).collect();
         let quotas = quotas(capacity + unused(capacity, &candidates), &candidates);
         for (load, quota) in teams.iter().zip(quotas) {
@@ -121,13 +157,12 @@
 
     /// True if this member may start one more piece of work of the team without taking a slot that others are owed.
     pub(super) fn allows(&self, pool: PoolId, team: TeamId) -> bool {
-        let row = self.rows.get(&(pool, team));
-        row.is_none_or(|row| row.part.is_none_or(|part| row.running < part))
+        self.own_part(pool, team).is_none_or(|part| self.own_running(pool, team) < part)
     }
 
     /// Slots that this member may use while others wait; `None` if the pool is not full.
     pub(super) fn own_part(&self, pool: PoolId, team: TeamId) -> Option<u32> {
-        self.rows.get(&(pool, team)).and_then(|row| row.part)
+        self.rows.get(&(pool, team)).map_or_else(|| self.newcomer_part(pool), |row| row.part)
     }
 
     /// Own running work of a team in a pool.
@@ -168,13 +203,19 @@
 }
 
 impl Row {
+    /// A row without work whose use is counted from `updated` on.
+    fn new(updated: Millis, part: Option<u32>) -> Self {
+        let usage = Usage::new(updated.0);
+        Self { updated, used: usage, owed: usage, part, ..Self::default() }
+    }
+
     fn account(&mut self, now: Millis, me: MemberId, load: &TeamLoad, usable: u32, owed_now: f64) {
         let total = load.total();
         self.used.advance(now.0, f64::from(total.running));
         self.owed.advance(now.0, owed_now);
         self.owed_now = owed_now;
         self.usable = usable;
-        self.peers = total.running.saturating_sub(load.members.get(&me).map_or(0, |own| own.running));
+        self.peers = total.running.saturating_sub(load.running_at(me));
         self.waiting = total.waiting;
         self.offered_by_all = total.offered;
         self.learn_offered(now);
--- a/crates/core/src/engine/systems/moving.rs
+++ b/crates/core/src/engine/systems/moving.rs
@@ -8,6 +8,7 @@
 use super::super::shares::Sum;
 use super::super::{Engine, Millis};
 use super::duty::Duty;
+use super::sharing::Capacity;
 use crate::fleet::WorkerState;
 use crate::ids::{MemberId, PoolId, TeamId, WorkerId};
 use crate::policy::surge::{Move, PoolLoad, WorkerLoad, choose};
@@ -18,9 +19,7 @@
         let Some(me) = self.member() else {
             return;
         };
-        let running = self.shares.running_by_team();
-        let pools = self.fleet.pools.keys();
-        let loads: Vec<PoolLoad> = pools.map(|pool| self.pool_load(*pool, &running)).collect();
+        let loads = self.pool_loads();
         let planned = self.planner.plan(now, &loads);
         let (true, Some(planned)) = (self.leads_moves(me), planned) else {
             return;
@@ -41,20 +40,23 @@
         !self.peers.heard().filter(live).any(|id| self.rank(id, Duty::Moves) < own)
     }
 
-    fn pool_load(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
+    fn pool_loads(&self) -> Vec<PoolLoad> {
+        let running = self.shares.running_by_team();
+        let load = |pool: &PoolId| self.pool_load(*pool, self.capacity(*pool), &running);
+        self.fleet.pools.keys().map(load).collect()
+    }
+
+    fn pool_load(&self, pool: PoolId, capacity: Capacity, team_running: &BTreeMap<TeamId, u32>) -> PoolLoad {
         let row = &self.fleet.pools[&pool];
-        let workers = self.fleet.workers.values();
-        let arriving = workers.filter(|w| matches!(w.state, WorkerState::Moving { to, .. } if to == pool));
-        let serving = self.fleet.serving(pool);
-        let capacity = self.capacity(pool);
+        let Capacity { serving, arriving, slots } = capacity;
         let work = self.pool_work(pool, team_running);
         PoolLoad {
             pool,
             spare: row.spare,
             serving,
-            arriving: u32::try_from(arriving.count()).unwrap_or(u32::MAX),
+            arriving,
             min_serving: row.min_serving,
-            slots: capacity.checked_div(serving).unwrap_or(0),
+            slots: slots.checked_div(serving).unwrap_or(0),
             running: work.running,
             waiting: work.waiting,
             offered: work.offered,
@@ -66,9 +68,12 @@
     /// Work of a pool over the fleet; waiting work that an upper limit holds back is left out.
     fn pool_work(&self, pool: PoolId, team_running: &BTreeMap<TeamId, u32>) -> Sum {
         let mut work = Sum::default();
-        for (id, team) in &self.fleet.teams {
-            let sum = self.shares.total(pool, *id);
-            let used = team_running.get(id).copied().unwrap_or(0);
+        for id in self.shares.teams(pool) {
+            let Some(team) = self.fleet.teams.get(&id) else {
+                continue;
+            };
+            let sum = self.shares.total(pool, id);
+            let used = team_running.get(&id).copied().unwrap_or(0);
             work.running += sum.running;
             work.waiting += sum.waiting.min(team.limit.saturating_sub(used));
             work.offered += sum.offered;
--- a/crates/core/src/engine/systems/sharing.rs
+++ b/crates/core/src/engine/systems/sharing.rs
@@ -1,65 +1,114 @@
 //! Shares: sums the load of all members and updates what each team uses, is owed and may start here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::super::event::Load;
 use super::super::shares::{Sum, TeamLoad};
 use super::super::{Engine, Millis};
-use crate::ids::{MemberId, PoolId, TeamId};
+use crate::fleet::WorkerState;
+use crate::ids::{MemberId, Offset, PoolId, TeamId, ZoneId};
+
+/// What the workers of one pool can take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Capacity {
+    /// Workers that take work according to the log.
+    pub(super) serving: u32,
+    /// Workers on their way into the pool.
+    pub(super) arriving: u32,
+    /// Slots of the workers that take work according to the log and all peers.
+    pub(super) slots: u32,
+}
 
 /// Arriving work below which a load is left out of the digest, in slots.
 const LEAST_OFFERED: f64 = 0.05;
 
+/// Work by pool, team and member, in the order of ids.
+type MemberLoads = BTreeMap<(PoolId, TeamId), Vec<(MemberId, Sum)>>;
+
+/// Capacities with what they follow from: the offset of the log and the removals that peers know.
+#[derive(Debug, Default)]
+pub(in crate::engine) struct Capacities {
+    of: Option<(Option<Offset>, BTreeMap<ZoneId, u64>)>,
+    pools: BTreeMap<PoolId, Capacity>,
+}
+
 impl Engine {
     pub(in crate::engine) fn run_shares(&mut self, now: Millis) {
         let Some(me) = self.member() else {
             return;
         };
         let mut loads = self.member_loads(me);
+        self.update_capacities();
         for pool in self.fleet.pools.keys().copied().collect::<Vec<_>>() {
-            let capacity = self.capacity(pool);
+            let capacity = self.capacity(pool).slots;
             let teams = self.team_loads(pool, &mut loads);
             self.shares.update(now, me, pool, capacity, &teams);
         }
+        self.shares.end_update(now);
+    }
+
+    /// Capacity of a pool, as of this tick.
+    pub(super) fn capacity(&self, pool: PoolId) -> Capacity {
+        self.capacities.pools.get(&pool).copied().unwrap_or_default()
     }
 
-    /// Slots of the workers of a pool that take work.
-    pub(super) fn capacity(&self, pool: PoolId) -> u32 {
-        let workers = self.fleet.workers.values().filter(|w| w.pool == pool && self.may_use(w));
-        workers.map(|w| w.slots).sum()
+    /// Counts the capacities again if the log or a peer's removals may have changed them.
+    fn update_capacities(&mut self) {
+        let same = |(offset, removed): &(Option<Offset>, BTreeMap<ZoneId, u64>)| {
+            *offset == self.fleet.applied && *removed == self.peers.removed
+        };
+        if !self.capacities.of.as_ref().is_some_and(same) {
+            let of = Some((self.fleet.applied, self.peers.removed.clone()));
+            self.capacities = Capacities { of, pools: self.count_capacities() };
+        }
+    }
+
+    /// Capacity of each pool, in one pass over the workers.
+    fn count_capacities(&self) -> BTreeMap<PoolId, Capacity> {
+        let mut capacities: BTreeMap<PoolId, Capacity> = BTreeMap::new();
+        for worker in self.fleet.workers.values() {
+            let pool = capacities.entry(worker.pool).or_default();
+            pool.serving += u32::from(self.fleet.takes_work(worker));
+            pool.slots += if self.may_use(worker) { worker.slots } else { 0 };
+            if let WorkerState::Moving { to, .. } = worker.state {
+                capacities.entry(to).or_default().arriving += 1;
+            }
+        }
+        capacities
     }
 
-    fn member_loads(&self, me: MemberId) -> BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>> {
-        let mut loads: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
+    fn member_loads(&self, me: MemberId) -> MemberLoads {
+        let mut loads = MemberLoads::new();
         for (member, load) in self.peers.loads().filter(|(member, _)| *member != me) {
             let sum = Sum::from(load);
-            loads.entry((load.pool, load.team)).or_default().insert(member, sum);
+            loads.entry((load.pool, load.team)).or_default().push((member, sum));
         }
         for load in &self.own_loads() {
             let sum = Sum::from(load);
-            loads.entry((load.pool, load.team)).or_default().insert(me, sum);
+            let members = loads.entry((load.pool, load.team)).or_default();
+            // The peers come in the order of their ids.
+            let place = members.partition_point(|(member, _)| *member < me);
+            members.insert(place, (me, sum));
         }
         loads
     }
 
-    fn team_loads(
-        &self,
-        pool: PoolId,
-        loads: &mut BTreeMap<(PoolId, TeamId), BTreeMap<MemberId, Sum>>,
-    ) -> Vec<TeamLoad> {
-        let team_load = |(id, team): (&TeamId, &crate::fleet::Team)| TeamLoad {
-            team: *id,
-            share: team.share,
-            limit: team.limit,
-            members: loads.remove(&(pool, *id)).unwrap_or_default(),
-            sent: self.sent_load(pool, *id),
+    fn team_loads(&self, pool: PoolId, loads: &mut MemberLoads) -> Vec<TeamLoad> {
+        let heard = loads.range((pool, TeamId(0))..=(pool, TeamId(u32::MAX))).map(|((_, team), _)| *team);
+        let teams: BTreeSet<TeamId> = self.shares.teams(pool).chain(heard).collect();
+        let team_load = |id: TeamId| {
+            let team = self.fleet.teams.get(&id)?;
+            let members = loads.remove(&(pool, id)).unwrap_or_default();
+            let sent = self.sent_load(pool, id);
+            Some(TeamLoad { team: id, share: team.share, limit: team.limit, members, sent })
         };
-        self.fleet.teams.iter().map(team_load).collect()
+        teams.into_iter().filter_map(team_load).collect()
     }
 
     fn sent_load(&self, pool: PoolId, team: TeamId) -> Sum {
-        let sent = self.sent_loads.iter().find(|load| load.pool == pool && load.team == team);
-        sent.map_or_else(Sum::default, Sum::from)
+        // Digests list the loads in the order of pool and team, because `own_loads` sorts them.
+        let found = self.sent_loads.binary_search_by_key(&(pool, team), |load| (load.pool, load.team));
+        found.map_or_else(|_| Sum::default(), |index| Sum::from(&self.sent_loads[index]))
     }
 
     /// Running and waiting work of this member per pool and team.
