Bound the arrival of sent bytes and stop at entries of another release

Ruled out: an absolute deadline, which needs clocks that agree. Change: connections to workers are reset when their process ends and fail after 5 s without acknowledgement; lingering slots and the reclaim wait include these 5 s. The checksum covers the version byte, so a damaged version is told from another release, at which the replica stops. Conclusion: the reclaim does not depend on how long the kernel repeats bytes.

--- a/crates/core/src/engine/systems/attempts.rs
+++ b/crates/core/src/engine/systems/attempts.rs
@@ -5,7 +5,7 @@
 use super::super::holds::Permit;
 use super::super::requests::Stage;
 use super::super::view::RetryReason;
-use super::super::{Engine, Millis, RequestKey};
+use super::super::{ARRIVAL_MS, Engine, Millis, RequestKey};
 use super::scheduling::REQUEST_ATTEMPTS;
 use crate::ids::{PoolId, TeamId, WorkerId};
 use crate::policy::judgement::Outcome;
@@ -90,10 +90,11 @@
     }
 
     /// Keeps the slot until the worker must have stopped the request. The worker got the time left at the send and
-    /// counts it from the arrival, which is not later than now.
+    /// counts it from the arrival.
     fn linger(&mut self, now: Millis, facts: &Facts, permit: Permit) {
         let limit = facts.deadline.since(facts.sent);
-        let until = now.plus(self.with_drift(limit));
+        let arrival = facts.sent.plus(ARRIVAL_MS).max(now);
+        let until = arrival.plus(self.with_drift(limit));
         permit.linger(&mut self.uses, until);
         let upstream = self.upstreams.row(facts.worker);
         upstream.lingering.retain(|other| *other > now);
--- a/crates/core/src/engine/systems/holding.rs
+++ b/crates/core/src/engine/systems/holding.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use super::super::{Engine, Millis};
+use super::super::{ARRIVAL_MS, Engine, Millis};
 use super::duty::Duty;
 use crate::ids::{MemberId, TeamId};
 use crate::record::Record;
@@ -170,7 +170,7 @@
 
     /// Time after which nothing that a gone member started can run, in milliseconds.
     pub(super) fn reclaim_ms(&self) -> u64 {
-        self.with_drift(self.options.lease_cap_ms + self.fleet.deadline_cap_ms)
+        self.with_drift(ARRIVAL_MS + self.options.lease_cap_ms + self.fleet.deadline_cap_ms)
     }
 
     /// Frees the holds of gone members whose work can no longer run.
--- a/crates/core/src/record/codec.rs
+++ b/crates/core/src/record/codec.rs
@@ -1,4 +1,7 @@
-//! Binary form of a batch: a version byte, a CRC-32 of the body, and the body in `postcard` form.
+//! Binary form of a batch: a version byte, a CRC-32 of the version byte and the body, and the body in `postcard` form.
+//!
+//! Later versions keep this header. An entry of another release is thus told apart from a damaged one: replicas pass over
+//! damaged entries, but must not pass over what another release can read.
 
 use super::Batch;
 
@@ -30,7 +33,7 @@
     let body = postcard::to_stdvec(batch).unwrap_or_default();
     let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
     bytes.push(FORMAT_VERSION);
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&checksum(FORMAT_VERSION, &body));
     bytes.extend_from_slice(&body);
     bytes
 }
@@ -44,11 +47,18 @@
     let Some((header, body)) = bytes.split_at_checked(HEADER_BYTES) else {
         return Err(DecodeError::Short(bytes.len()));
     };
+    if checksum(header[0], body) != header[1..] {
+        return Err(DecodeError::Checksum);
+    }
     if header[0] != FORMAT_VERSION {
         return Err(DecodeError::Version(header[0]));
     }
-    if crc32fast::hash(body).to_le_bytes() != header[1..] {
-        return Err(DecodeError::Checksum);
-    }
     postcard::from_bytes(body).map_err(|_| DecodeError::Body)
 }
+
+fn checksum(version: u8, body: &[u8]) -> [u8; 4] {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&[version]);
+    hasher.update(body);
+    hasher.finalize().to_le_bytes()
+}
--- a/crates/entry/src/platform/follower.rs
+++ b/crates/entry/src/platform/follower.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::restore::restore;
-use super::{Log, Platform, Read};
+use super::{FeedError, Log, Platform, Read};
 use crate::peers::Directions;
 
 /// Pause after a failed read.
@@ -50,7 +50,11 @@
             match log.feed(first, entries) {
                 Ok(()) if last >= end => return log.shell().handle(Event::LogEnd),
                 Ok(()) => return,
-                Err(error) => {
+                Err(error @ FeedError::Version { .. }) => {
+                    log::error!("{error}; replace this instance by one of the newer release");
+                    return sleep(RESTORE_BACKOFF).await;
+                }
+                Err(error @ FeedError::Gap { .. }) => {
                     log::warn!("{error}");
                     first
                 }
--- a/crates/entry/src/platform/log.rs
+++ b/crates/entry/src/platform/log.rs
@@ -7,21 +7,32 @@
 use rattanfall_core::engine::Event;
 use rattanfall_core::fleet::Fleet;
 use rattanfall_core::ids::Offset;
-use rattanfall_core::record::decode;
+use rattanfall_core::record::{DecodeError, decode};
 use rattanfall_wire::platform::FIRST_OFFSET;
 use thiserror::Error;
 
 use super::Tail;
 use crate::shell::Shell;
 
-/// Entries start after the cursor.
+/// Why entries cannot be fed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("entries from offset {first} on do not follow offset {next}")]
-pub struct FeedError {
-    /// First offset offered.
-    pub first: u64,
-    /// Offset needed.
-    pub next: u64,
+pub enum FeedError {
+    /// Entries start after the cursor.
+    #[error("entries from offset {first} on do not follow offset {next}")]
+    Gap {
+        /// First offset offered.
+        first: u64,
+        /// Offset needed.
+        next: u64,
+    },
+    /// An entry is of another release. It is not passed over, because replicas of that release give it an effect.
+    #[error("the entry at offset {offset} has format version {version}, which this release cannot read")]
+    Version {
+        /// Offset of the entry.
+        offset: u64,
+        /// Version of its format.
+        version: u8,
+    },
 }
 
 /// Position in the log, the engine that it feeds, and the kept tail.
@@ -61,25 +72,28 @@
     ///
     /// # Errors
     ///
-    /// Fails if the first entry is after the cursor.
+    /// Fails if the first entry is after the cursor, or at an entry of another release.
     pub fn feed(&self, first: u64, entries: Vec<Vec<u8>>) -> Result<(), FeedError> {
         let mut next = self.next.lock();
         if first > *next {
-            return Err(FeedError { first, next: *next });
+            return Err(FeedError::Gap { first, next: *next });
         }
         for (offset, entry) in (first..).zip(entries) {
             if offset < *next {
                 continue;
             }
-            self.feed_one(Offset(offset), entry);
+            self.feed_one(Offset(offset), entry)?;
             *next = offset + 1;
         }
         Ok(())
     }
 
-    fn feed_one(&self, offset: Offset, entry: Vec<u8>) {
+    fn feed_one(&self, offset: Offset, entry: Vec<u8>) -> Result<(), FeedError> {
         let event = match decode(&entry) {
             Ok(batch) => Event::LogBatch { offset, batch },
+            Err(DecodeError::Version(version)) => {
+                return Err(FeedError::Version { offset: offset.0, version });
+            }
             Err(error) => {
                 log::error!(offset = offset.0; "a log entry is passed over: {error}");
                 Event::LogCorrupt(offset)
@@ -87,6 +101,7 @@
         };
         self.shell.handle(event);
         self.tail.push(offset.0, entry);
+        Ok(())
     }
 
     /// Goes on after a snapshot, if it is ahead of the cursor or nothing was read yet.
--- a/crates/entry/src/shell/mod.rs
+++ b/crates/entry/src/shell/mod.rs
@@ -214,7 +214,11 @@
         let options = Options { nonce: rand::random(), ..self.engine.options().clone() };
         log::warn!("this incarnation has ended in the log; joining again with nonce {}", options.nonce);
         let fleet = self.engine.fleet().clone();
+        let stopping = self.engine.view(now).stopping;
         self.engine = Engine::new(options, rand::random());
+        if stopping {
+            self.engine.handle(now, Event::Stop);
+        }
         self.engine.handle(now, Event::Restored(Box::new(fleet)));
         self.epoch += 1;
         self.decisions.clear();
--- a/crates/entry/src/upstreams/pool.rs
+++ b/crates/entry/src/upstreams/pool.rs
@@ -3,11 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread::ThreadId;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use rattanfall_core::engine::ARRIVAL_MS;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
@@ -91,6 +93,7 @@
         let connect = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
+            bound_delivery(&stream)?;
             handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
         };
         let connected = timeout(self.config.connect, connect).await;
@@ -125,3 +128,11 @@
         self.hosts.lock().values().map(|host| host.idle.len()).sum()
     }
 }
+
+/// Bounds the time at which sent bytes can still arrive. A killed process resets its connections, and the kernel gives up
+/// on bytes that are not acknowledged: otherwise a request could reach its worker after the slot was reclaimed.
+fn bound_delivery(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(ARRIVAL_MS)))
+}
--- a/crates/entry/tests/log.rs
+++ b/crates/entry/tests/log.rs
@@ -40,6 +40,19 @@
     assert_eq!(world.instance.shell.read(|engine| engine.counters().corrupt_entries), 1);
 }
 
+/// Guards against a replica that passes over an entry of a newer release and then differs from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn stops_at_an_entry_of_another_release() {
+    let world = World::start().await;
+    let before = fleet(&world.instance);
+    let body = b"newer";
+    let checksum = crc32fast::hash(&[&[200], &body[..]].concat());
+    world.platform.put([&[200], &checksum.to_le_bytes()[..], body].concat());
+    assert_ne!(world.operate("POST", "/v1/pools/spare/maintenance", b"").await.status, 200);
+    assert_eq!(fleet(&world.instance).applied, before.applied);
+    assert_eq!(world.instance.shell.read(|engine| engine.counters().corrupt_entries), 0);
+}
+
 /// Guards against a guessed state after the log dropped its first entries, and against serving before the state is
 /// there (P11).
 #[tokio::test(flavor = "multi_thread")]
