Repeat an unchanged digest only once a second

Digests went to every member each 250 ms although nothing had changed. A changed digest still goes out at the next interval; an unchanged one is repeated three times within the time after which peers forget it (3 s).

--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -126,6 +126,8 @@
     log_end: Option<Millis>,
     last_snapshot: Option<Offset>,
     last_gossip: Millis,
+    /// Last digest with the time at which it was sent.
+    sent_digest: Option<(Millis, event::Digest)>,
     sent_loads: Vec<Load>,
     digests: u64,
     tickets: u64,
@@ -168,6 +170,7 @@
             log_end: None,
             last_snapshot: None,
             last_gossip: Millis(0),
+            sent_digest: None,
             sent_loads: Vec::new(),
             digests: 0,
             tickets: 0,
--- a/crates/core/src/engine/systems/gossip.rs
+++ b/crates/core/src/engine/systems/gossip.rs
@@ -8,6 +8,8 @@
 
 /// Withdrawn keys that are repeated to peers: the newest ones. Older withdrawals are in every replica.
 const WITHDRAWN_KEYS: usize = 64;
+/// Digests within the time after which a peer forgets the last one, if nothing changes: two of three may be lost.
+const KEEP_ALIVES: u64 = 3;
 
 impl Engine {
     pub(in crate::engine) fn run_gossip(&mut self, now: Millis) {
@@ -18,16 +20,29 @@
             return;
         }
         self.last_gossip = now;
-        self.digests += 1;
         let digest = self.make_digest(me);
+        if !self.is_due(now, &digest) {
+            return;
+        }
+        self.digests += 1;
         self.sent_loads.clone_from(&digest.loads);
+        self.sent_digest = Some((now, digest.clone()));
         self.emit(Command::Gossip(digest));
     }
 
+    /// True if a digest says something new, or if the peers would soon forget the last one.
+    fn is_due(&self, now: Millis, digest: &Digest) -> bool {
+        let Some((sent, last)) = &self.sent_digest else {
+            return true;
+        };
+        let repeat = Digest { number: last.number, applied: last.applied, ..digest.clone() };
+        repeat != *last || now.since(*sent) >= self.options.digest_ttl_ms / KEEP_ALIVES
+    }
+
     fn make_digest(&self, me: MemberId) -> Digest {
         Digest {
             member: me,
-            number: self.digests,
+            number: self.digests + 1,
             applied: self.fleet.applied,
             loads: self.own_loads(),
             wanted: self.wanted(me),
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -4,7 +4,8 @@
 
 use bench::Bench;
 use rattanfall_core::declaration::{Declaration, Pool, Team};
-use rattanfall_core::engine::command::{NotRun, Refusal};
+use rattanfall_core::engine::TICK_MS;
+use rattanfall_core::engine::command::{Command, NotRun, Refusal};
 use rattanfall_core::fleet::{Effect, TaskState};
 use rattanfall_core::record::{Record, TaskOutcome};
 use rstest::rstest;
@@ -50,6 +51,39 @@
     }
 }
 
+/// Digests that e1 sends in a time without contact with others.
+fn digests(bench: &mut Bench, ms: u64) -> usize {
+    let mut sent = 0;
+    for _ in 0..ms / TICK_MS {
+        bench.now = bench.now.plus(TICK_MS);
+        let now = bench.now;
+        let engine = &mut bench.node("e1").engine;
+        engine.tick(now);
+        sent += engine.take_commands().iter().filter(|c| matches!(c, Command::Gossip(_))).count();
+    }
+    sent
+}
+
+// Guards against digests that repeat without news, and against peers that forget an idle member after 3 s.
+#[test]
+fn idle_members_repeat_their_digest_each_second() {
+    let mut bench = small_fleet(12);
+    bench.run(3_000);
+    assert_eq!(digests(&mut bench, 8_000), 8);
+}
+
+// Guards against news that waits for the next repeat.
+#[test]
+fn news_are_sent_within_the_digest_interval() {
+    let mut bench = small_fleet(12);
+    bench.run(3_000);
+    // Starts right after a digest, so that the next repeat is a second away.
+    while digests(&mut bench, TICK_MS) == 0 {}
+    assert_eq!(digests(&mut bench, 500), 0);
+    bench.submit("e1", KEY_A, "orders", true, 5_000);
+    assert_eq!(digests(&mut bench, 250), 1);
+}
+
 #[test]
 fn requests_are_answered_at_every_instance() {
     let mut bench = small_fleet(12);
