--- a/crates/core/src/engine/appends/mod.rs
+++ b/crates/core/src/engine/appends/mod.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::event::AppendEnd;
 use super::{Millis, Ticket};
 use crate::ids::MemberId;
 use crate::record::{Batch, Origin, Record};
@@ -38,6 +39,17 @@
     flying: bool,
     again: Millis,
     failures: u32,
+    /// True if an append of it may have taken effect.
+    unsure: bool,
+}
+
+impl Outstanding {
+    fn back_off(&mut self, now: Millis, end: AppendEnd) {
+        let pause = (RETRY_MS << self.failures.min(8)).min(RETRY_CAP_MS);
+        self.failures += 1;
+        self.again = now.plus(pause);
+        self.unsure |= end == AppendEnd::Unknown;
+    }
 }
 
 /// Records on their way into the log.
@@ -108,26 +120,53 @@
         self.sequence += 1;
         let batch = Batch { origin: Origin::Member(member), sequence: self.sequence, records };
         let again = now.plus(READ_BACK_MS);
-        self.outstanding =
-            Some(Outstanding { batch: batch.clone(), tickets, proposed, flying: true, again, failures: 0 });
+        self.outstanding = Some(Outstanding {
+            batch: batch.clone(),
+            tickets,
+            proposed,
+            flying: true,
+            again,
+            failures: 0,
+            unsure: false,
+        });
         batch
     }
 
-    /// Notes the end of an append. A failed one may have taken effect, so the same batch is sent again.
-    pub(super) fn end_append(&mut self, now: Millis, sequence: u64, accepted: bool) {
-        self.down = !accepted;
+    /// Notes the end of an append. A batch that may be in the log is sent again as it is; one that is certainly not in
+    /// it is taken apart, and the proposals in it are returned: they changed nothing.
+    pub(super) fn end_append(&mut self, now: Millis, sequence: u64, end: AppendEnd) -> Vec<Ticket> {
+        self.down = end != AppendEnd::Taken;
         let Some(outstanding) = self.outstanding.as_mut().filter(|o| o.batch.sequence == sequence) else {
-            return;
+            return Vec::new();
         };
         outstanding.flying = false;
-        if accepted {
-            outstanding.failures = 0;
-            outstanding.again = now.plus(READ_BACK_MS);
-        } else {
-            let pause = (RETRY_MS << outstanding.failures.min(8)).min(RETRY_CAP_MS);
-            outstanding.failures += 1;
-            outstanding.again = now.plus(pause);
+        match end {
+            AppendEnd::Taken => {
+                outstanding.failures = 0;
+                outstanding.unsure = true;
+                outstanding.again = now.plus(READ_BACK_MS);
+            }
+            AppendEnd::NotTaken if !outstanding.unsure => return self.take_apart(now),
+            AppendEnd::NotTaken | AppendEnd::Unknown => outstanding.back_off(now, end),
+        }
+        Vec::new()
+    }
+
+    /// Queues the records of the outstanding batch again, without those that belong to a proposal.
+    fn take_apart(&mut self, now: Millis) -> Vec<Ticket> {
+        let Some(outstanding) = self.outstanding.take() else {
+            return Vec::new();
+        };
+        self.sequence -= 1;
+        self.committed = now.plus(RETRY_MS);
+        let mut refused = Vec::new();
+        for (record, ticket) in outstanding.batch.records.into_iter().zip(outstanding.tickets).rev() {
+            match ticket {
+                Some(ticket) => refused.push(ticket),
+                None => self.waiting.push_front(Waiting { record, ticket, proposed: outstanding.proposed }),
+            }
         }
+        refused
     }
 
     /// Ends the outstanding batch once the log has shown it; returns its records with their proposals.
--- a/crates/core/src/engine/holds/mod.rs
+++ b/crates/core/src/engine/holds/mod.rs
@@ -39,6 +39,7 @@
 pub(super) struct Uses {
     running: BTreeMap<TeamId, u32>,
     leaving: BTreeMap<TeamId, u32>,
+    reserved: BTreeMap<TeamId, u32>,
     lingering: Vec<(Millis, Permit)>,
 }
 
@@ -62,11 +63,21 @@
         self.running.get(&team).copied().unwrap_or(0)
     }
 
-    /// Slots of the hold that are neither running nor promised to others.
+    /// Slots of the hold that are neither running, nor promised to others, nor kept free for others.
     pub(super) fn spare(&self, team: TeamId, held: u32) -> u32 {
+        self.idle(team, held).saturating_sub(self.reserved.get(&team).copied().unwrap_or(0))
+    }
+
+    /// Slots of the hold that are neither running nor promised to others.
+    pub(super) fn idle(&self, team: TeamId, held: u32) -> u32 {
         held.saturating_sub(self.leaving(team)).saturating_sub(self.running(team))
     }
 
+    /// Keeps slots free for other members from now on, so that a busy member gets some together as work ends.
+    pub(super) fn reserve(&mut self, team: TeamId, slots: u32) {
+        self.reserved.insert(team, slots);
+    }
+
     /// Slots in give and release records that are not applied yet.
     pub(super) fn leaving(&self, team: TeamId) -> u32 {
         self.leaving.get(&team).copied().unwrap_or(0)
--- a/crates/core/src/engine/runs/mod.rs
+++ b/crates/core/src/engine/runs/mod.rs
@@ -13,6 +13,9 @@
     pub(super) worker: WorkerId,
     pub(super) permit: Permit,
     pub(super) stage: RunStage,
+    /// True for an attempt of an earlier owner until the worker says that it runs. Until then it may have ended before
+    /// that owner did, which may have used its slot again.
+    pub(super) unconfirmed: bool,
     /// True once the start record is in the log.
     pub(super) recorded: bool,
     /// Random number of the worker's process that granted the lease; 0 before the grant.
--- a/crates/core/src/engine/systems/holding.rs
+++ b/crates/core/src/engine/systems/holding.rs
@@ -10,6 +10,7 @@
 use super::duty::Duty;
 use crate::ids::{MemberId, TeamId};
 use crate::record::Record;
+use crate::share::part;
 
 /// Time without need after which a member releases its surplus, in milliseconds.
 const IDLE_MS: u64 = 5_000;
@@ -36,13 +37,18 @@
         if needed > 0 {
             self.needs.insert(team, now);
         }
+        let over = if self.appends.down { 0 } else { self.over_part(me, team) };
+        self.uses.reserve(team, over);
         if self.has_pending(team) {
             return;
         }
         if self.shrink(now, me, team) || needed > 0 && self.claim(now, team, needed) {
             return;
         }
-        if needed == 0 && !self.give(now, me, team) {
+        let spare = self.uses.spare(team, self.fleet.hold(team, me)).div_ceil(2);
+        let kept_free = over.min(self.uses.idle(team, self.fleet.hold(team, me)));
+        let given = self.give(now, me, team, if needed == 0 { spare.max(kept_free) } else { kept_free });
+        if needed == 0 && !given {
             self.adjust_floor(now, me, team);
         }
     }
@@ -91,19 +97,40 @@
         slots > 0
     }
 
-    /// Gives half of the spare slots to the member that lacks most.
-    fn give(&mut self, now: Millis, me: MemberId, team: TeamId) -> bool {
-        let spare = self.uses.spare(team, self.fleet.hold(team, me));
+    /// Slots that this member holds above its part of the limit while another member lacks some. The limit is split by
+    /// demand, so that a busy member that never has a spare slot still yields to one that came later.
+    fn over_part(&self, me: MemberId, team: TeamId) -> u32 {
+        let wanting = self.peers.wanted(team).any(|(id, _)| id != me);
+        if !wanting {
+            return 0;
+        }
+        let mut demands: BTreeMap<MemberId, u32> = BTreeMap::from([(me, 0)]);
+        for (member, load) in self.peers.loads().filter(|(id, load)| *id != me && load.team == team) {
+            *demands.entry(member).or_default() += load.running + load.waiting;
+        }
+        for load in self.own_loads().iter().filter(|load| load.team == team) {
+            *demands.entry(me).or_default() += load.running + load.waiting;
+        }
+        let own: Vec<u32> = demands.values().copied().collect();
+        let index = demands.keys().position(|id| *id == me).unwrap_or(0);
+        let kept = self.fleet.hold(team, me).saturating_sub(self.uses.leaving(team));
+        kept.saturating_sub(part(self.fleet.teams[&team].limit, &own, index))
+    }
+
+    /// Gives up to `most` slots to the member that lacks most.
+    fn give(&mut self, now: Millis, me: MemberId, team: TeamId, most: u32) -> bool {
         let live: Vec<MemberId> = self.fleet.live_members().collect();
         let wants = self.peers.wanted(team).filter(|(id, _)| *id != me && live.contains(id));
         let Some((to, wanted)) = wants.max_by_key(|(id, wanted)| (*wanted, *id)) else {
             return false;
         };
-        let slots = spare.div_ceil(2).min(wanted);
+        let slots = most.min(wanted);
         if slots == 0 {
             return false;
         }
         self.uses.promise(team, slots);
+        let over = self.over_part(me, team);
+        self.uses.reserve(team, over);
         let team = self.fleet.teams[&team].name.clone();
         self.note(now, Record::HoldGive { team, to, slots });
         true
@@ -141,14 +168,18 @@
         self.note(now, Record::HoldRelease { team, slots });
     }
 
+    /// Time after which nothing that a gone member started can run, in milliseconds.
+    pub(super) fn reclaim_ms(&self) -> u64 {
+        self.with_drift(self.options.lease_cap_ms + self.fleet.deadline_cap_ms)
+    }
+
     /// Frees the holds of gone members whose work can no longer run.
     fn run_reclaims(&mut self, now: Millis) {
-        let wait = self.with_drift(self.options.lease_cap_ms + self.fleet.deadline_cap_ms);
+        let wait = self.reclaim_ms();
         let due = self.gone.iter().filter(|(_, seen)| now.since(**seen) >= wait);
         for member in due.map(|(id, _)| *id).collect::<Vec<_>>() {
             let holds = self.fleet.holds.keys().any(|(_, holder)| *holder == member);
             if !holds {
-                self.gone.remove(&member);
                 self.clear_duty(Duty::Reclaim(member));
             } else if self.is_turn(now, Duty::Reclaim(member)) {
                 self.note_once(now, Record::HoldReclaim { member });
--- a/crates/core/src/engine/systems/task_reports.rs
+++ b/crates/core/src/engine/systems/task_reports.rs
@@ -132,6 +132,7 @@
             return;
         };
         run.stage = RunStage::Running;
+        run.unconfirmed = false;
         if run.adopted() {
             self.order(id, super::super::command::TaskVerb::Renew { lease: 0 });
         }
--- a/crates/core/src/engine/systems/task_runs.rs
+++ b/crates/core/src/engine/systems/task_runs.rs
@@ -83,6 +83,7 @@
         let lapses = now.plus(self.with_drift(self.options.lease_cap_ms));
         let mut run = new_run(now, attempt, worker, permit);
         run.stage = RunStage::Unsure;
+        run.unconfirmed = true;
         run.recorded = true;
         run.nonce = nonce;
         run.lapses = lapses;
@@ -239,7 +240,7 @@
         let attempt = run.attempt;
         let noted = run.recorded || self.appends.contains(|r| is_start(r, task, attempt));
         if noted {
-            self.close_run(task);
+            self.close_run(now, task);
             self.note(now, Record::TaskRequeued { task, attempt, proof });
         } else {
             self.drop_run(now, task);
@@ -250,13 +251,13 @@
         let Some(attempt) = self.runs.rows.get(&task).map(|run| run.attempt) else {
             return;
         };
-        self.close_run(task);
+        self.close_run(now, task);
         self.runs.checkpoints.remove(&task);
         self.note(now, Record::TaskEnded { task, attempt, outcome });
     }
 
     /// Gives the slot back; the row stays until the final record is in the log.
-    fn close_run(&mut self, id: TaskId) {
+    fn close_run(&mut self, now: Millis, id: TaskId) {
         let Some(run) = self.runs.rows.remove(&id) else {
             return;
         };
@@ -268,14 +269,20 @@
             row.running = row.running.saturating_sub(1);
             self.upstreams.end(run.worker, team, true);
         }
-        run.permit.close(&mut self.uses);
+        let wait = self.reclaim_ms();
+        let owner_gone = self.gone.values().any(|gone| now.since(*gone) < wait);
+        if run.unconfirmed && owner_gone {
+            run.permit.linger(&mut self.uses, now.plus(wait));
+        } else {
+            run.permit.close(&mut self.uses);
+        }
         let permit = Permit::none();
         self.runs.rows.insert(id, Run { stage: RunStage::Ended, permit, ..run });
     }
 
     /// Forgets an attempt; its task is queued again if it still waits.
     pub(super) fn drop_run(&mut self, now: Millis, id: TaskId) {
-        self.close_run(id);
+        self.close_run(now, id);
         if let Some(run) = self.runs.rows.remove(&id) {
             run.permit.close(&mut self.uses);
         }
@@ -289,6 +296,7 @@
         worker,
         permit,
         stage: RunStage::Leasing,
+        unconfirmed: false,
         recorded: false,
         nonce: 0,
         starts: 0,
--- a/crates/core/tests/engine_scenarios.rs
+++ b/crates/core/tests/engine_scenarios.rs
@@ -55,6 +55,7 @@
             "operate" => self.operate(case),
             "fault" => self.fault(case),
             "run" => self.bench.run(number(case, "ms", 1_000)),
+            "served" => return self.served(),
             "check" => return self.check(),
             "show" => return self.show(),
             other => panic!("unknown directive {other}"),
@@ -210,6 +211,12 @@
         out
     }
 
+    /// Requests answered at each instance.
+    fn served(&self) -> String {
+        let nodes = self.bench.nodes.iter();
+        nodes.map(|(name, node)| format!("{name} answered {}\n", node.answered)).collect()
+    }
+
     /// Members, requests by end, tasks by state, workers by state.
     fn show(&mut self) -> String {
         let mut out = String::new();
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -93,6 +93,10 @@
         let body = Append { entries: vec![STANDARD.encode(entry)] };
         let request = Call::new(Method::POST, "/log/append", self.config.append).json(&body);
         let reply = call(&self.pool, &self.config.address, request).await?;
+        // The platform's refusals prove that it took nothing.
+        if matches!(reply.status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+            return Err(CallError::Unsent);
+        }
         reply.parse::<Appended>().map(|appended| appended.first).ok_or(CallError::NoAnswer)
     }
 
