--- a/crates/entry/tests/processes/support/fleet.rs
+++ b/crates/entry/tests/processes/support/fleet.rs
@@ -71,6 +71,7 @@
     pub(crate) workers: Vec<Instance>,
     pub(crate) key: String,
     setup: Setup,
+    folder: PathBuf,
     processes: Vec<Process>,
 }
 
@@ -88,6 +89,14 @@
     CREDENTIAL,
 ];
 
+fn new_folder() -> PathBuf {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("processes-{}-{number}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 fn texts(args: &[&str]) -> Vec<String> {
     args.iter().map(|arg| (*arg).to_owned()).collect()
 }
@@ -105,6 +114,7 @@
             workers: vec![],
             key: String::new(),
             setup,
+            folder: new_folder(),
             processes: vec![platform],
         };
         fleet.start_workers().await;
@@ -199,8 +209,7 @@
         let _ =
             write!(text, "[pools.orders]\nmin_serving = {min}\n[teams.alder]\nshare = 1\nlimit = {limit}\n");
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let name = format!("processes-{}-{number}.toml", std::process::id());
-        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let path = self.folder.join(format!("{number}.toml"));
         std::fs::write(&path, text).unwrap();
         path
     }
@@ -276,8 +285,9 @@
         self.entries.iter().map(|entry| entry.callers.clone()).collect()
     }
 
-    /// Ends every process.
+    /// Ends every process and removes the files.
     pub(crate) fn close(self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
         self.entries.into_iter().for_each(|entry| entry.process.close());
         self.processes.into_iter().for_each(Process::close);
     }
