Count the arrival bound from the send and let no rewrite accept a broken invariant

Ruled out: a shorter delay in the script. Change: a slot stays in use until the send plus 1 s to write, 2 s to arrive and the time limit, instead of the time of the timeout plus the limit; a script fails on any broken invariant even while its output is rewritten. Conclusion: the check cannot be rewritten away.

--- a/crates/core/src/engine/systems/attempts.rs
+++ b/crates/core/src/engine/systems/attempts.rs
@@ -11,6 +11,9 @@
 use crate::policy::judgement::Outcome;
 use slotmap::Key;
 
+/// Longest time from the order to send until the request is written, in milliseconds. It covers the connect.
+const DISPATCH_MS: u64 = 1_000;
+
 /// What the end of an attempt needs to know of its request.
 #[derive(Clone, Copy)]
 struct Facts {
@@ -93,8 +96,8 @@
     /// counts it from the arrival.
     fn linger(&mut self, now: Millis, facts: &Facts, permit: Permit) {
         let limit = facts.deadline.since(facts.sent);
-        let arrival = facts.sent.plus(ARRIVAL_MS).max(now);
-        let until = arrival.plus(self.with_drift(limit));
+        let arrival = facts.sent.plus(DISPATCH_MS + ARRIVAL_MS);
+        let until = arrival.plus(self.with_drift(limit)).max(now);
         permit.linger(&mut self.uses, until);
         let upstream = self.upstreams.row(facts.worker);
         upstream.lingering.retain(|other| *other > now);
--- a/crates/core/tests/engine_scenarios.rs
+++ b/crates/core/tests/engine_scenarios.rs
@@ -214,6 +214,8 @@
         for line in &checks.broken {
             writeln!(out, "broken: {line}").expect("string");
         }
+        // A rewrite of the expected output must not accept a broken invariant.
+        assert!(!out.contains("broken"), "{out}");
         out
     }
 
