List the load generator's settings on the operators' page

Cause: the page missed one program. Change: its table, compared with the program's own help by the page's test.

--- a/crates/ctl/tests/page.rs
+++ b/crates/ctl/tests/page.rs
@@ -20,6 +20,7 @@
 #[case::ctl("### rattanctl", &args::command())]
 #[case::entry("### rattanfall-entry", &rattanfall_entry::options::command())]
 #[case::standin("### rattanfall-standin", &rattanfall_standin::options::command())]
+#[case::load("### rattanfall-load", &rattanfall_load::options::command())]
 fn page_lists_the_flags(#[case] heading: &str, #[case] command: &Command) {
     let rows: BTreeSet<String> = section(heading).lines().filter_map(setting).collect();
     assert_eq!(rows, arguments(command).into_iter().filter_map(flag).collect());
