Check kept connections for an end that was not read before reuse

Cause: the other end had closed, but the connection's task had not read it when the next request was written; the request ended as broken. Ruled out: more time for the task, which only makes the race rarer. Change: the pool looks at the socket itself (a peek without taking bytes) before a kept connection is used.

--- a/crates/entry/src/upstreams/exchange.rs
+++ b/crates/entry/src/upstreams/exchange.rs
@@ -104,7 +104,8 @@
     deadline: Instant,
 ) -> Result<(Connection, Response<Incoming>), Failure> {
     while let Some(mut connection) = pool.take_idle(address) {
-        if !matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(()))) {
+        let ready = matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
+        if !ready || !connection.is_quiet() {
             continue;
         }
         match send_on(connection, request, deadline).await {
--- a/crates/entry/src/upstreams/mod.rs
+++ b/crates/entry/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 mod json;
 mod orders;
 mod pool;
+mod socket;
 
 pub use body::{Feed, SendBody, feed};
 pub use exchange::{Answer, Failure, exchange};
--- a/crates/entry/src/upstreams/pool.rs
+++ b/crates/entry/src/upstreams/pool.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::SendBody;
+use super::socket::{Probe, Socket};
 use crate::config::UpstreamConfig;
 
 /// Connections by address.
@@ -41,10 +42,18 @@
 #[derive(Debug)]
 pub struct Connection {
     pub(super) sender: SendRequest<SendBody>,
+    probe: Probe,
     task: AbortHandle,
     thread: ThreadId,
 }
 
+impl Connection {
+    /// True if the other end has neither closed the connection nor sent anything unasked.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.probe.is_quiet()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -94,14 +103,18 @@
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             bound_delivery(&stream)?;
-            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)
+            let socket = Socket::new(stream);
+            let probe = socket.probe();
+            let (sender, connection) =
+                handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+            Ok::<_, std::io::Error>((sender, connection, probe))
         };
         let connected = timeout(self.config.connect, connect).await;
-        let (sender, connection) = connected.map_err(|_| std::io::ErrorKind::TimedOut)??;
+        let (sender, connection, probe) = connected.map_err(|_| std::io::ErrorKind::TimedOut)??;
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle(), thread: std::thread::current().id() })
+        Ok(Connection { sender, probe, task: task.abort_handle(), thread: std::thread::current().id() })
     }
 
     /// Keeps a connection whose last answer is complete.
--- /dev/null
+++ b/crates/entry/src/upstreams/socket.rs
@@ -0,0 +1,88 @@
+//! Socket of a connection, shared between its task, which reads and writes, and the pool, which checks it before reuse.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Socket as its connection's task uses it.
+#[derive(Debug)]
+pub(super) struct Socket {
+    stream: Arc<TcpStream>,
+}
+
+/// Reference that does not keep the socket open.
+#[derive(Debug)]
+pub(super) struct Probe {
+    stream: Weak<TcpStream>,
+}
+
+impl Socket {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self { stream: Arc::new(stream) }
+    }
+
+    pub(super) fn probe(&self) -> Probe {
+        Probe { stream: Arc::downgrade(&self.stream) }
+    }
+}
+
+impl Probe {
+    /// True if nothing can be read: neither an end, which the connection's task may not have seen yet, nor bytes that
+    /// belong to no request.
+    pub(super) fn is_quiet(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result.map(|_| ())),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -94,6 +94,34 @@
     }
 }
 
+/// Guards against a request on a connection whose end has arrived but was not read yet: the thread is blocked while the
+/// worker closes, so that the connection's task cannot have noticed.
+#[tokio::test]
+async fn replaces_a_kept_connection_whose_end_was_not_read() {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (signal, closed) = std::sync::mpsc::channel();
+    let (release, released) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 512]);
+            stream.write_all(ANSWER).unwrap();
+            let _ = released.recv();
+            drop(stream);
+            let _ = signal.send(());
+        }
+    });
+    let pool = pool(1);
+    for _ in 0..5 {
+        let body = SendBody::whole(Bytes::new());
+        exchange(&pool, &address, request(body), soon()).await.expect("an answer").release();
+        release.send(()).unwrap();
+        closed.recv().unwrap();
+    }
+}
+
 /// Guards against losing a streamed body when no connection can be made: it is handed back whole and can be sent later.
 #[tokio::test(flavor = "multi_thread")]
 async fn hands_a_streamed_body_back_unsent() {
