Count a lasting task as away until no former owner's stop can be under way

The log: the former owner told a task of the step to stop at 17.871 s and lost the store; the new owner was fenced in at 18.364 s, saw the task still listed at 100 percent, because a stop takes up to 900 ms, and stopped a second one at 18.558 s. A store that holds each stop would cost a write a stop. Change: a run that is adopted counts as at work only in a list that is read later than the longest stop after the worker took the new epoch.

--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -1,7 +1,7 @@
 //! Emptying of machines: lasting tasks are restarted elsewhere within their budget, others finish or are stopped.
 
 use super::super::super::Dispatcher;
-use super::super::super::worker::WorkerKey;
+use super::super::super::worker::{Run, WorkerKey};
 use super::{Goal, Stage};
 use crate::ids::TaskId;
 use crate::table::TaskState;
@@ -73,7 +73,7 @@
                     .and_then(|key| self.workers.get(key))
                     .filter(|worker| worker.answers())
                     .and_then(|worker| worker.runs.get(&other))
-                    .is_some_and(|run| run.confirmed.is_some() && !run.stopping && run.progress >= 100),
+                    .is_some_and(Run::at_work),
                 TaskState::Waiting | TaskState::Done => false,
             };
             if other != task && !at_work {
--- a/crates/jobs/src/dispatch/systems/looks.rs
+++ b/crates/jobs/src/dispatch/systems/looks.rs
@@ -3,7 +3,7 @@
 use super::super::Dispatcher;
 use super::super::command::{Command, Look, Stop, Target};
 use super::super::event::{Listed, Outcome, Seen, Sighting};
-use super::super::worker::{Looking, Run, Worker, WorkerKey};
+use super::super::worker::{Inherited, Looking, Run, Worker, WorkerKey};
 use super::runs::RunEnd;
 use crate::ids::TaskId;
 use crate::table::{Phase, Place, TaskState};
@@ -204,6 +204,7 @@
 
     /// Compares the runs that a worker lists with those placed there.
     fn compare_runs(&mut self, now: u64, sent: u64, key: WorkerKey, seen: &Seen) {
+        let stop_ms = self.options.stop_ms;
         let Some(worker) = self.workers.get_mut(key) else { return };
         let mut lost = Vec::new();
         for (task, run) in &mut worker.runs {
@@ -214,6 +215,7 @@
                     run.missing = 0;
                     run.unanswered = 0;
                     run.progress = listed.progress;
+                    run.inherited = run.inherited.listed(now, stop_ms);
                     run.checkpoint.clone_from(&listed.checkpoint);
                     if !run.stopping {
                         run.due = None;
@@ -255,8 +257,14 @@
         let occupied = self.workers.get(key).is_some_and(|worker| worker.runs.contains_key(&task));
         match self.new_run(now, task, number).filter(|_| !occupied) {
             Some(run) => {
-                let run =
-                    Run { sent: true, confirmed: Some(now), stopping: !resumed, abandoned: !resumed, ..run };
+                let run = Run {
+                    sent: true,
+                    confirmed: Some(now),
+                    stopping: !resumed,
+                    abandoned: !resumed,
+                    inherited: Inherited::Unseen.listed(now, self.options.stop_ms),
+                    ..run
+                };
                 self.add_run(key, task, run);
             }
             None => {
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -2,7 +2,7 @@
 
 use super::super::Dispatcher;
 use super::super::event::How;
-use super::super::worker::{Run, WorkerKey};
+use super::super::worker::{Inherited, Run, WorkerKey};
 use crate::ids::{JobId, TaskId};
 use crate::spec::{Submission, Terms};
 use crate::table::{Phase, TaskState};
@@ -27,6 +27,7 @@
             sent: false,
             confirmed: None,
             stopping: false,
+            inherited: Inherited::No,
             abandoned: false,
             due: None,
             unanswered: 0,
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -5,7 +5,7 @@
 //! owner could have granted is over.
 
 use super::super::event::Sighting;
-use super::super::worker::{Run, Worker, WorkerKey};
+use super::super::worker::{Inherited, Run, Worker, WorkerKey};
 use super::super::{Dispatcher, Track};
 use crate::ids::{JobId, TaskId};
 use crate::spec::Resources;
@@ -72,7 +72,8 @@
 
     fn adopt_run(&mut self, now: u64, key: WorkerKey, task: TaskId, row: &Task) {
         let Some(run) = self.new_run(now, task, row.run) else { return };
-        let run = Run { confirmed: Some(0), missing: u32::MAX, sent: true, ..run };
+        let inherited = Inherited::Unseen;
+        let run = Run { confirmed: Some(0), missing: u32::MAX, sent: true, inherited, ..run };
         self.add_run(key, task, run);
     }
 
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -44,6 +44,8 @@
     pub confirmed: Option<u64>,
     /// True once a stop was ordered.
     pub stopping: bool,
+    /// Whether a former owner's stop may be under way.
+    pub inherited: Inherited,
     /// True once the task may run elsewhere beside this run.
     pub abandoned: bool,
     /// Time of the next order for this run, if one is due.
@@ -72,6 +74,37 @@
     pub ticket: Option<String>,
 }
 
+impl Run {
+    /// True if a lasting task is at work here and nobody stops it.
+    #[must_use]
+    pub fn at_work(&self) -> bool {
+        self.confirmed.is_some() && !self.stopping && self.inherited == Inherited::No && self.progress >= 100
+    }
+}
+
+/// Whether a former owner's order may still act on a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Inherited {
+    /// Its worker has not listed the run yet, and may still take orders of the former owner.
+    Unseen,
+    /// A run that is listed after this time is not being stopped by a former owner.
+    Until(u64),
+    /// Only this owner's orders act on it.
+    No,
+}
+
+impl Inherited {
+    /// Notes that the worker listed the run.
+    #[must_use]
+    pub const fn listed(self, now: u64, stop_ms: u64) -> Self {
+        match self {
+            Self::Unseen => Self::Until(now + stop_ms + stop_ms * DRIFT_PERCENT / 100),
+            Self::Until(end) if now > end => Self::No,
+            same => same,
+        }
+    }
+}
+
 /// State of the looks at a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Looking {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -183,8 +183,11 @@
     }
 }
 
-/// Listed progress: a lasting task is at work after a short start.
+/// Listed progress: a lasting task is at work after a short start, also while it is being stopped.
 fn progress(run: &Run, now: u64) -> u8 {
+    if run.how == How::Stopped && now >= run.start + START_MS {
+        return 100;
+    }
     let length = (run.ends - run.start).clamp(1, LASTING_MS);
     let start = if length == LASTING_MS { START_MS } else { length };
     u8::try_from(((now - run.start) * 100 / start).min(100)).unwrap_or(100)
@@ -687,6 +690,13 @@
         tasks
     }
 
+    /// Tasks of a job that are at work and not being stopped.
+    pub(crate) fn at_work(&self, job: u64) -> usize {
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        let ours = runs.filter(|(task, run)| task.job.0 == job && run.how != How::Stopped);
+        ours.filter(|(_, run)| progress(run, self.now) == 100).count()
+    }
+
     /// Tasks that have been started more than once at the same time.
     pub(crate) fn doubled(&self) -> Vec<TaskId> {
         let tasks = self.running();
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -83,6 +83,28 @@
     assert!(world.stops.iter().all(|(_, _, on)| *on == worker), "{:?}", world.stops);
 }
 
+/// A run that a former owner had told to stop was still listed as at work, and the new owner stopped a second task.
+#[test]
+fn a_new_owner_counts_a_task_as_away_that_its_predecessor_is_stopping() {
+    let mut world = World::new(6);
+    world.stop_ms = 900;
+    world.submit(job(1, vec![lasting(4, 1)]));
+    world.play(2_000);
+    world.plan_wave(&ALL, 6, 12_000);
+    while world.stops.is_empty() {
+        world.round();
+    }
+    let stopped = world.workers[&world.stops[0].2].machine.clone();
+    world.take_over();
+    let others = ALL.iter().filter(|name| **name != stopped).map(|name| (*name).to_owned()).collect();
+    world.dispatcher.plan_wave(world.now, Wave { number: 2, machines: others, within_ms: 4_000, most: 6 });
+    for _ in 0..1_500 {
+        world.round();
+        assert!(world.at_work(1) >= 3, "two tasks of the step are away at {}", world.now);
+    }
+    assert_eq!(world.upkeeps.len(), 5);
+}
+
 #[test]
 fn batch_tasks_finish_before_their_machine_goes_down() {
     let mut world = World::new(1);
