Check takeovers exhaustively, and count contact from the time at which the store was asked

Cause: the model checker covered the earlier design only. Written for the new one with the real decisions, it broke a rule without a seeded fault: an owner whose write was answered 10 s late took the answer for contact at that moment and started a task that its successor ran elsewhere. Two further gaps of the same kind were read off the code: a return to the group counted as contact although another instance may have claimed the work meanwhile, and a claim was not weighed again when a later owner turned up while reading. Ruled out: the deadline of starts, which is taken from the worker's clock as read before and still holds after a freeze. Change: contact counts from the time of asking; no start goes out without contact; a changed group makes the owner write its record again under its fence; a claim ends if another one came first.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 mod systems;
 pub mod worker;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use slotmap::SlotMap;
@@ -37,6 +37,8 @@
     pub number: WriteNumber,
     /// Records.
     pub entries: Vec<Entry>,
+    /// Time at which it was taken. The store takes it later, so it proves contact at this time only.
+    taken: u64,
     /// Jobs and the state to show once the write is stored.
     shown: Vec<(JobId, bool, Phase)>,
 }
@@ -76,7 +78,7 @@
 }
 
 /// Owner's state machine. Times are milliseconds of the process's steady clock.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Dispatcher {
     options: Options,
     epoch: u64,
@@ -85,11 +87,13 @@
     catalog: Arc<Catalog>,
     evacuated: BTreeSet<String>,
     workers: SlotMap<WorkerKey, Worker>,
-    index: HashMap<String, WorkerKey>,
+    index: BTreeMap<String, WorkerKey>,
     usage: BTreeMap<String, Resources>,
     tracks: BTreeMap<JobId, Track>,
     dirty: BTreeSet<JobId>,
     dirty_waves: BTreeSet<u64>,
+    /// True if the owner's record is to be written again, which the store refuses if there is a newer owner.
+    unproved: bool,
     /// Machines whose order waits for a write.
     dirty_orders: BTreeSet<String>,
     /// Machines whose order waits for a write to be stored.
@@ -139,11 +143,12 @@
             catalog,
             evacuated: BTreeSet::new(),
             workers: SlotMap::with_key(),
-            index: HashMap::new(),
+            index: BTreeMap::new(),
             usage: BTreeMap::new(),
             tracks: BTreeMap::new(),
             dirty: BTreeSet::new(),
             dirty_waves: BTreeSet::new(),
+            unproved: false,
             dirty_orders: BTreeSet::new(),
             unstored_orders: VecDeque::new(),
             unstored: VecDeque::new(),
@@ -186,9 +191,21 @@
         self.unix_offset = i64::try_from(unix_ms).unwrap_or(0) - i64::try_from(now).unwrap_or(0);
     }
 
-    /// Notes contact with the store, which proves that no other owner took over before.
-    pub const fn contacted(&mut self, now: u64) {
-        self.contact = now;
+    /// Notes contact with the store: no other owner had taken over at this time, which is at the latest the one at which
+    /// the store was asked.
+    pub fn contacted(&mut self, asked: u64) {
+        self.contact = self.contact.max(asked);
+    }
+
+    /// Asks for a write that proves that there is no newer owner. Needed when another instance may have seen this one
+    /// leave the group.
+    pub const fn prove_ownership(&mut self) {
+        self.unproved = true;
+    }
+
+    /// True while no other owner can have waited for the end of this one's leases.
+    const fn in_contact(&self, now: u64) -> bool {
+        now.saturating_sub(self.contact) <= self.options.silence_ms
     }
 
     /// Replaces the configuration.
@@ -225,12 +242,16 @@
     }
 
     /// Next write, if anything changed.
-    pub fn take_write(&mut self) -> Option<Write> {
-        if self.dirty.is_empty() && self.dirty_waves.is_empty() && self.dirty_orders.is_empty() {
+    pub fn take_write(&mut self, now: u64) -> Option<Write> {
+        let clean = self.dirty.is_empty() && self.dirty_waves.is_empty() && self.dirty_orders.is_empty();
+        if clean && !self.unproved {
             return None;
         }
         self.write += 1;
         let mut entries = Vec::new();
+        if std::mem::take(&mut self.unproved) {
+            entries.push(record::owner(&self.table.owner));
+        }
         let mut shown = Vec::new();
         for id in std::mem::take(&mut self.dirty) {
             match self.table.get(id) {
@@ -255,13 +276,13 @@
         for (task, key) in std::mem::take(&mut self.placed) {
             self.unstored.push_back((self.write, task, key));
         }
-        Some(Write { number: self.write, entries, shown })
+        Some(Write { number: self.write, entries, taken: now, shown })
     }
 
     /// Notes that a write is stored: its states are shown, its starts go out and its ends are acknowledged.
     pub fn stored(&mut self, now: u64, write: &Write) {
         self.stored = write.number;
-        self.contacted(now);
+        self.contacted(write.taken);
         for &(id, started, phase) in &write.shown {
             if let Some(job) = self.table.get_mut(id) {
                 job.show(started, phase);
--- a/crates/jobs/src/dispatch/systems/advice.rs
+++ b/crates/jobs/src/dispatch/systems/advice.rs
@@ -1,6 +1,6 @@
 //! Tickets of queues whose policy decides which workers may run a step.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use super::super::Dispatcher;
 use super::super::command::Command;
@@ -24,9 +24,9 @@
 }
 
 /// What the policies said.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(in super::super) struct Advice {
-    steps: HashMap<String, Opinion>,
+    steps: BTreeMap<String, Opinion>,
 }
 
 /// Name of a task's step.
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -72,7 +72,7 @@
 }
 
 /// Machines and waves.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(in super::super) struct Fleet {
     pub(super) rows: BTreeMap<String, Row>,
     pub(super) waves: BTreeMap<u64, Wave>,
--- a/crates/jobs/src/dispatch/systems/looks.rs
+++ b/crates/jobs/src/dispatch/systems/looks.rs
@@ -80,7 +80,7 @@
 
     /// Sends the looks that are due.
     pub(in super::super) fn look_at_workers(&mut self, now: u64) {
-        if now.saturating_sub(self.contact) > self.options.silence_ms {
+        if !self.in_contact(now) {
             return;
         }
         for worker in self.workers.values_mut() {
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -30,6 +30,7 @@
         let row = job.progress.task(&job.submission, task);
         let checkpoint = row.map_or_else(String::new, |row| row.checkpoint.clone());
         let payload = job.submission.payload.clone();
+        let in_contact = self.in_contact(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let closed = worker.sighting.draining || self.evacuated.contains(&worker.sighting.zone);
         let clock = worker.clock_at(now);
@@ -39,7 +40,7 @@
             self.requeue(key, task, "the worker takes no new tasks");
             return;
         }
-        let Some(clock) = clock else {
+        let Some(clock) = clock.filter(|_| in_contact) else {
             run.due = Some(now + REPEAT_MS);
             return;
         };
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -26,6 +26,16 @@
 /// First sequence numbers are random below this, so that two claims of one epoch never look like one append.
 const FIRST_SEQUENCE: u64 = 1 << 31;
 
+/// What became of a try to claim the work.
+enum Claim {
+    /// This instance owns the work.
+    Taken,
+    /// Records were written that this instance has not read.
+    Behind,
+    /// Another instance claimed the work before.
+    Late,
+}
+
 impl<P: Platform> Node<P> {
     /// Stays in the group, and claims the work when its owner has left.
     pub(super) async fn keep_share(self: Rc<Self>) {
@@ -40,12 +50,17 @@
             if !loaded || stopping {
                 continue;
             }
+            let asked = self.now();
             let Ok(joined) = self.platform.store().join(&self.options.name, generation).await else {
                 continue;
             };
-            let now = self.now();
             if let Some(dispatcher) = self.state.borrow_mut().dispatcher() {
-                dispatcher.contacted(now);
+                if joined == generation {
+                    dispatcher.contacted(asked);
+                } else {
+                    generation = joined;
+                    dispatcher.prove_ownership();
+                }
                 continue;
             }
             if joined != generation || heir {
@@ -77,10 +92,15 @@
 
     async fn claim_work(&self) {
         let sequence = rand::random::<u64>() % FIRST_SEQUENCE;
+        let former = self.state.borrow().table().owner.clone();
         for _ in 0..TRIES {
-            match self.try_claim(sequence).await {
-                Ok(true) => return,
-                Ok(false) => {}
+            match self.try_claim(sequence, &former).await {
+                Ok(Claim::Taken) => return,
+                Ok(Claim::Late) => {
+                    log::info!(epoch = former.epoch; "another instance has claimed the work");
+                    return;
+                }
+                Ok(Claim::Behind) => {}
                 Err(error) => {
                     log::info!(error:% = error; "the work could not be claimed");
                     sleep(RETRY).await;
@@ -89,8 +109,10 @@
         }
     }
 
-    /// Appends the claim at the end of what was read. False if the topic has moved on.
-    async fn try_claim(&self, sequence: u64) -> Result<bool, StoreError> {
+    /// Appends the claim at the end of what was read.
+    ///
+    /// The claim is against `former` alone: whether a later owner has left the group was not asked.
+    async fn try_claim(&self, sequence: u64, former: &Owner) -> Result<Claim, StoreError> {
         let (intake, from) = {
             let state = self.state.borrow();
             match (state.intake.next, state.progress.next) {
@@ -100,6 +122,9 @@
         };
         self.read_intake_from(intake, Duration::ZERO).await?;
         self.read_progress_from(from, Duration::ZERO).await?;
+        if self.state.borrow().table().owner != *former {
+            return Ok(Claim::Late);
+        }
         let (end, owner) = {
             let state = self.state.borrow();
             let epoch = state.table().owner.epoch + 1;
@@ -117,9 +142,9 @@
             Ok(end) => {
                 let sightings = self.read_directory().await.unwrap_or_default();
                 self.become_owner(owner, end, sequence, sightings);
-                Ok(true)
+                Ok(Claim::Taken)
             }
-            Err(StoreError::Moved(_)) => Ok(false),
+            Err(StoreError::Moved(_)) => Ok(Claim::Behind),
             Err(error) => Err(error),
         }
     }
--- a/crates/jobs/src/node/own.rs
+++ b/crates/jobs/src/node/own.rs
@@ -42,7 +42,7 @@
                 self.handle.meters.decided(&counted.1, &dispatcher.counters);
                 counted.1 = dispatcher.counters;
                 dispatcher.take_late().into_iter().for_each(|late_ms| self.handle.meters.ended(late_ms));
-                let write = if idle { dispatcher.take_write() } else { None };
+                let write = if idle { dispatcher.take_write(now) } else { None };
                 let dropped = dispatcher.take_dropped();
                 (dispatcher.take_commands(), write, dropped, dispatcher.fenced_out())
             };
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -68,7 +68,7 @@
 }
 
 /// All jobs.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Table {
     jobs: BTreeMap<JobId, Job>,
     /// Progress and cancellations read before the submission.
