Apply reloaded settings, and keep appends within the store's bound

Cause: a reload was read and had no effect, and a silent change of the file was never read. The bound on the bytes of an append was decoded and used nowhere: a write of many jobs, after a takeover or a cancelled wave, would be refused for ever. Ruled out: cutting a write of the decisions into several, because ends and starts wait for the number of the write that holds them; the node stores one write in several appends instead and reports it once all are stored. Submissions, writes and drops are split by size.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -208,6 +208,11 @@
         now.saturating_sub(self.contact) <= self.options.silence_ms
     }
 
+    /// Replaces the settings.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Replaces the configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
--- a/crates/jobs/src/dispatch/options/mod.rs
+++ b/crates/jobs/src/dispatch/options/mod.rs
@@ -1,7 +1,7 @@
 //! Times of the owner's work, in milliseconds.
 
 /// Settings of a dispatcher.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Options {
     /// Lease granted to all runs of a worker at each look.
     pub lease_ms: u64,
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -162,7 +162,7 @@
         let Role::Follower(mut table) = std::mem::take(&mut state.role) else { return };
         let epoch = owner.epoch;
         table.owner = owner;
-        let options = self.options.dispatch.clone();
+        let options = self.dispatch.borrow().clone();
         let mut dispatcher = Dispatcher::new(options, epoch, *table, catalog, now, unix_ms());
         dispatcher.set_evacuated(state.evacuated.clone());
         for sighting in sightings {
--- a/crates/jobs/src/node/intake.rs
+++ b/crates/jobs/src/node/intake.rs
@@ -10,7 +10,7 @@
 use super::Node;
 use super::state::{Stored, Submission};
 use crate::ports::{Platform, Store, StoreError, Topic};
-use crate::record::Entry;
+use crate::record::{Entry, fitting};
 
 /// Appends under way at once. More than one, so that a lost answer delays no other caller.
 const APPENDS: usize = 4;
@@ -41,7 +41,8 @@
                         break;
                     }
                     state.appends += 1;
-                    let count = state.queue.len().min(RECORDS);
+                    let waiting = state.queue.iter().take(RECORDS).map(|submission| &submission.entry);
+                    let count = fitting(waiting, self.options.append_bytes);
                     state.queue.drain(..count).collect()
                 };
                 spawn_local(Rc::clone(&self).append_intake(batch));
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -20,6 +20,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::dispatch::options::Options as DispatchOptions;
 use crate::ports::{Platform, Store};
 use calls::{Handle, Message};
 use options::Options;
@@ -35,6 +36,8 @@
     platform: P,
     options: Options,
     handle: Handle,
+    /// Settings of the decisions, which may change while the node runs.
+    dispatch: RefCell<DispatchOptions>,
     state: RefCell<State>,
     /// Wakes the owner's loop.
     work: Notify,
@@ -49,6 +52,7 @@
     pub fn new(platform: P, options: Options, handle: Handle) -> Rc<Self> {
         Rc::new(Self {
             platform,
+            dispatch: RefCell::new(options.dispatch.clone()),
             options,
             handle,
             state: RefCell::default(),
@@ -86,6 +90,15 @@
         }
     }
 
+    /// Replaces the settings of the owner's decisions.
+    pub fn set_dispatch(&self, options: DispatchOptions) {
+        if let Some(dispatcher) = self.state.borrow_mut().dispatcher() {
+            dispatcher.set_options(options.clone());
+        }
+        self.dispatch.replace(options);
+        self.work.notify_one();
+    }
+
     /// Milliseconds of the steady clock.
     fn now(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
--- a/crates/jobs/src/node/options/mod.rs
+++ b/crates/jobs/src/node/options/mod.rs
@@ -19,6 +19,8 @@
     pub stale: Duration,
     /// Time for which calls are still answered after a stop was asked for.
     pub stop: Duration,
+    /// Most bytes of one append.
+    pub append_bytes: usize,
     /// Settings of the owner's decisions.
     pub dispatch: DispatchOptions,
 }
@@ -34,6 +36,7 @@
             directory_gap: Duration::from_millis(300),
             stale: Duration::from_millis(1_300),
             stop: Duration::from_secs(3),
+            append_bytes: 1 << 20,
             dispatch: DispatchOptions::default(),
         }
     }
--- a/crates/jobs/src/node/own.rs
+++ b/crates/jobs/src/node/own.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::command::Command;
 use crate::dispatch::{Counters, Dispatcher, Write};
 use crate::ports::{Fence, Machines, Platform, Store, StoreError, Topic, Upstreams};
-use crate::record::{Entry, canceled};
+use crate::record::{Entry, canceled, fitting};
 
 /// Longest time between two runs of the systems.
 const TICK: Duration = Duration::from_millis(50);
@@ -68,43 +68,67 @@
         self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.epoch())
     }
 
-    /// Stores a write under the epoch. Repeats it until the store has answered.
+    /// Stores a write under the epoch, in several appends if it is large. A successor that reads a part of it sees jobs
+    /// whose starts were not sent and whose ends were not acknowledged.
     async fn store_write(self: Rc<Self>, write: Write) {
         let Some(epoch) = self.epoch() else { return };
+        let mut rest = write.entries.as_slice();
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(fitting(rest, self.options.append_bytes));
+            if !self.store_part(epoch, write.number, part).await {
+                return;
+            }
+            rest = later;
+        }
+        self.note_stored(epoch, &write);
+        sleep(WRITE_GAP).await;
+    }
+
+    /// Appends a part of a write, and repeats that until the store has answered. False if this node no longer owns the
+    /// work.
+    async fn store_part(&self, epoch: u64, number: u64, entries: &[Entry]) -> bool {
         let sequence = self.state.borrow().sequence;
         loop {
             if self.epoch() != Some(epoch) {
-                return;
+                return false;
             }
             let fence = Fence { epoch, sequence };
             let begun = Instant::now();
-            match self.platform.store().append(Topic::Progress, &write.entries, Some(fence), None).await {
+            match self.platform.store().append(Topic::Progress, entries, Some(fence), None).await {
                 Ok(_) => {
                     self.handle.meters.stored(begun.elapsed());
-                    self.note_stored(epoch, sequence, &write);
-                    return sleep(WRITE_GAP).await;
+                    return self.advance(epoch, sequence);
                 }
                 Err(StoreError::Sequence(expected)) if expected == sequence + 1 => {
-                    return self.note_stored(epoch, sequence, &write);
+                    return self.advance(epoch, sequence);
                 }
                 Err(StoreError::Fenced | StoreError::Sequence(_)) => {
-                    return self.step_down("the store knows a newer owner");
+                    self.step_down("the store knows a newer owner");
+                    return false;
                 }
                 Err(error) => {
                     self.handle.meters.retried("write_not_stored");
-                    log::warn!(error:% = error, write = write.number; "a write is not stored yet");
+                    log::warn!(error:% = error, write = number; "a write is not stored yet");
                     sleep(RETRY).await;
                 }
             }
         }
     }
 
-    fn note_stored(&self, epoch: u64, sequence: u64, write: &Write) {
+    /// Notes that an append was stored. False if this node no longer owns the work.
+    fn advance(&self, epoch: u64, sequence: u64) -> bool {
+        let owns = self.epoch() == Some(epoch);
+        if owns {
+            self.state.borrow_mut().sequence = sequence + 1;
+        }
+        owns
+    }
+
+    fn note_stored(&self, epoch: u64, write: &Write) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if let Some(dispatcher) = state.dispatcher().filter(|d| d.epoch() == epoch) {
             dispatcher.stored(now, write);
-            state.sequence = sequence + 1;
         }
         self.work.notify_one();
     }
@@ -114,9 +138,15 @@
         let empty = |key: String| Entry { key, value: Vec::new() };
         let entries: Vec<Entry> =
             jobs.iter().flat_map(|id| [empty(format!("s{id}")), empty(canceled(*id).key)]).collect();
-        if let Err(error) = self.platform.store().append(Topic::Intake, &entries, None, None).await {
-            // The records stay until the next owner drops them.
-            log::warn!(error:% = error, jobs = jobs.len(); "records of ended jobs were not dropped");
+        let mut rest = entries.as_slice();
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(fitting(rest, self.options.append_bytes));
+            if let Err(error) = self.platform.store().append(Topic::Intake, part, None, None).await {
+                // The records stay until the next owner drops them.
+                log::warn!(error:% = error, records = rest.len(); "records of ended jobs were not dropped");
+                return;
+            }
+            rest = later;
         }
     }
 
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -44,6 +44,25 @@
     pub value: Vec<u8>,
 }
 
+impl Entry {
+    /// Bytes of key and value.
+    #[must_use]
+    pub const fn size(&self) -> usize {
+        self.key.len() + self.value.len()
+    }
+}
+
+/// Number of the first entries that fit into an append, at least one.
+#[must_use]
+pub fn fitting<'a>(entries: impl IntoIterator<Item = &'a Entry>, bytes: usize) -> usize {
+    let mut total = 0;
+    let fits = entries.into_iter().take_while(|entry| {
+        total += entry.size();
+        total <= bytes
+    });
+    fits.count().max(1)
+}
+
 /// Change of the intake.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Intake {
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -193,3 +193,19 @@
     })
     .await;
 }
+
+/// A write of many jobs was larger than the store takes, was refused for ever, and nothing started any more.
+#[tokio::test(start_paused = true)]
+async fn a_write_larger_than_an_append_is_stored_in_parts() {
+    Cluster::run(2, |cluster| async move {
+        let calls = (1..=60).map(|id| cluster.call(0, submit(id, 3)));
+        let answers = futures::future::join_all(calls).await;
+        assert!(answers.iter().all(|answer| matches!(answer, Answer::Accepted(_))), "{answers:?}");
+        cluster.settle(30_000).await;
+        for id in 1..=60 {
+            assert_eq!(cluster.call(1, read(id)).await, Answer::State(Shown::Completed), "job {id}");
+        }
+        assert_eq!(cluster.doubled(), 0);
+    })
+    .await;
+}
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -27,6 +27,8 @@
 /// Time of an answer of the store.
 const STORE: Duration = Duration::from_millis(4);
 /// Time limit of a call to the store.
+/// Most bytes of an append.
+const APPEND_BYTES: usize = 2_000;
 const LIMIT: Duration = Duration::from_millis(900);
 /// Time after which a member that does not join is forgotten.
 const TTL: Duration = Duration::from_millis(1_100);
@@ -120,6 +122,9 @@
         at: Option<u64>,
     ) -> Result<u64, StoreError> {
         self.guard(true).await?;
+        if entries.iter().map(Entry::size).sum::<usize>() > APPEND_BYTES {
+            return Err(StoreError::Refused);
+        }
         let end = {
             let mut world = self.world.borrow_mut();
             let log = world.logs.entry(topic).or_default();
@@ -451,7 +456,8 @@
             let platform = Memory { world, grown, begun, dead: Rc::clone(&dead) };
             let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
             let name = format!("node-{index}");
-            let node = Node::new(platform, Options::new(name.clone()), handle.clone());
+            let options = Options { append_bytes: APPEND_BYTES, ..Options::new(name.clone()) };
+            let node = Node::new(platform, options, handle.clone());
             let stop = Rc::new(Notify::new());
             let stopped = Rc::clone(&stop);
             spawn_local(node.run(calls, async move { stopped.notified().await }, async {}));
