Let the next process of the owner's instance take over at once

Ruled out: a shorter life in the group, which is at the platform's least; ordering at once, because the last order may not show in the list. Change: a later process of the same instance proves the end of the former one and follows it; it rests a machine for 1 s, as no other holder had it; other owners rest it only until the bound after its last order has passed. The record of a machine's last order names the instance, under a key of its own. The first join follows the load without a pause. The new tests fail before.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -273,8 +273,8 @@
             }
         }
         for machine in std::mem::take(&mut self.dirty_orders) {
-            if let Some(&at) = self.table.orders.get(&machine) {
-                entries.push(record::order(&machine, at));
+            if let Some(order) = self.table.orders.get(&machine) {
+                entries.push(record::order(&machine, order));
                 self.unstored_orders.push_back((self.write, machine));
             }
         }
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -15,6 +15,7 @@
 use super::super::event::{Machine, MachineState};
 use super::super::worker::{Worker, WorkerKey};
 use crate::ports::MachineOutcome;
+use crate::record::LastOrder;
 
 pub(in super::super) use demand::Demand;
 pub(in super::super) use upkeep::Wave;
@@ -28,6 +29,9 @@
 const CLOCK_MS: u64 = 3_000;
 /// Time after which a list surely shows a worker that the directory showed, in milliseconds.
 const LIST_MS: u64 = 1_000;
+/// Time for which a machine is left alone that the former process of this instance ordered, in milliseconds. Its last
+/// order has been carried out by then and shows in the list.
+const OWN_REST_MS: u64 = 1_000;
 /// Time for which a machine is left alone after it was busy, in milliseconds.
 const BUSY_MS: u64 = 800;
 
@@ -67,6 +71,8 @@
     pub(super) order: Option<Order>,
     /// Time from which its worker had no runs.
     pub(super) idle: Option<u64>,
+    /// Time until which a former owner's order may not show in the list.
+    pub(super) shared: u64,
     /// Time until which it gets no order.
     pub(super) rest: u64,
 }
@@ -106,7 +112,8 @@
                 }
                 None => {
                     let rest = self.rest_after(now, &machine.name);
-                    Row { machine, order: None, idle: Some(now), rest }
+                    let shared = self.shared_until(now, &machine.name);
+                    Row { machine, order: None, idle: Some(now), rest, shared }
                 }
             };
             self.fleet.rows.insert(row.machine.name.clone(), row);
@@ -183,7 +190,8 @@
         let Some(row) = self.fleet.rows.get_mut(name) else { return };
         let Some(order) = &mut row.order else { return };
         order.stage = Stage::Ordered;
-        self.table.orders.insert(name.to_owned(), self.unix);
+        let instance = self.table.owner.instance().to_owned();
+        self.table.orders.insert(name.to_owned(), LastOrder { at: self.unix, instance });
         self.dirty_orders.insert(name.to_owned());
     }
 
@@ -199,11 +207,20 @@
         self.commands.push(command);
     }
 
-    /// Time until which a machine is left alone, because a former owner ordered it a moment ago.
+    /// Time until which a former owner may be ordering a machine, or its order is not in the list yet.
+    fn shared_until(&self, now: u64, name: &str) -> u64 {
+        let Some(order) = self.table.orders.get(name) else { return 0 };
+        let over = order.at + self.options.handover_ms + CLOCK_MS;
+        now + over.saturating_sub(self.unix).min(self.options.handover_ms)
+    }
+
+    /// Time until which a machine is left alone because of a former owner. Another process of this instance is no other
+    /// holder; only its last order has to show in the list.
     fn rest_after(&self, now: u64, name: &str) -> u64 {
-        let ordered = self.table.orders.get(name).copied().unwrap_or(0);
-        let recent = self.unix < ordered + self.options.handover_ms + CLOCK_MS;
-        if recent { now + self.options.handover_ms } else { 0 }
+        let shared = self.shared_until(now, name);
+        let own =
+            self.table.orders.get(name).is_some_and(|order| order.instance == self.table.owner.instance());
+        if own { shared.min(now + OWN_REST_MS) } else { shared }
     }
 
     /// Takes note of the outcome of an order to a machine.
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -90,7 +90,7 @@
         let inherited = |row: &Row| {
             row.order.is_none()
                 && wave.plan.machines.contains(&row.machine.name)
-                && (row.machine.state == MachineState::Upkeep || row.rest > now)
+                && (row.machine.state == MachineState::Upkeep || row.shared > now)
         };
         let ordered = |row: &Row| row.order.as_ref().is_some_and(|order| order.goal == goal);
         let busy = self.fleet.rows.values().filter(|row| ordered(row) || inherited(row)).count();
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -41,15 +41,17 @@
     pub(super) async fn keep_share(self: Rc<Self>) {
         let mut generation = 0;
         let mut heir = false;
+        let mut gap = Duration::ZERO;
         loop {
-            sleep(self.options.join_gap).await;
             let (loaded, stopping) = {
                 let state = self.state.borrow();
                 (state.loaded(), state.stopping)
             };
             if !loaded || stopping {
+                sleep(RETRY).await;
                 continue;
             }
+            sleep(std::mem::replace(&mut gap, self.options.join_gap)).await;
             let asked = self.now();
             let Ok(joined) = self.platform.store().join(&self.options.name, generation).await else {
                 continue;
@@ -81,9 +83,14 @@
     /// True if the owner has left the group and this instance is to follow it.
     ///
     /// The work stays with a living owner, because a takeover costs a look at every worker. The instance that
-    /// started last follows: in a roll-out it is the one that is not stopped next.
+    /// started last follows: in a roll-out it is the one that is not stopped next. A later process of the owner's own
+    /// instance proves before the group does that the owner has ended, and follows it at once.
     fn inherits(&self, members: &BTreeSet<String>) -> bool {
         let owner = self.state.borrow().table().owner.name.clone();
+        let restarted = members.iter().filter(|name| replaces(name, &owner)).max_by_key(|name| born(name));
+        if let Some(name) = restarted {
+            return *name == self.options.name;
+        }
         if members.contains(&owner) && owner != self.options.name {
             return false;
         }
@@ -191,8 +198,18 @@
     }
 }
 
+/// True if a process is a later one of the same instance.
+fn replaces(name: &str, former: &str) -> bool {
+    let instance = |name: &str| name.rsplit_once('-').map(|(instance, _)| instance.to_owned());
+    instance(former).is_some() && instance(name) == instance(former) && born(name) > born(former)
+}
+
+/// Time of day at which a process started, in milliseconds since 1970, which its name ends with.
+fn born(name: &str) -> u64 {
+    name.rsplit('-').next().and_then(|text| u64::from_str_radix(text, 16).ok()).unwrap_or(0)
+}
+
 /// Start of the process that a member's name carries, to the second, and the name to tell members that started together.
 fn start_of(name: &str) -> (u64, &str) {
-    let start = name.rsplit('-').next().and_then(|text| u64::from_str_radix(text, 16).ok());
-    (start.unwrap_or(0) / START_MS, name)
+    (born(name) / START_MS, name)
 }
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -17,7 +17,7 @@
 /// Key of the owner record in `Progress`.
 const OWNER_KEY: &str = "owner";
 /// Prefix of the keys of machines' last orders in `Progress`.
-const ORDER_KEY: &str = "machine/";
+const ORDER_KEY: &str = "order/";
 /// Prefix of the keys of waves in `Progress`.
 const WAVE_KEY: &str = "wave/";
 
@@ -83,6 +83,23 @@
     pub name: String,
 }
 
+impl Owner {
+    /// Instance that the process belongs to, under which it gives its orders of machines.
+    #[must_use]
+    pub fn instance(&self) -> &str {
+        self.name.rsplit_once('-').map_or(self.name.as_str(), |(instance, _)| instance)
+    }
+}
+
+/// Last order of a machine.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LastOrder {
+    /// Time of day, in milliseconds since 1970.
+    pub at: u64,
+    /// Instance that gave it.
+    pub instance: String,
+}
+
 /// Change of the progress.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -92,8 +109,8 @@
     Job(JobId, Progress),
     /// State of a wave of upkeep.
     Wave(u64, WaveProgress),
-    /// Time of day of a machine's last order, in milliseconds since 1970.
-    Order(String, u64),
+    /// Last order of a machine.
+    Order(String, LastOrder),
     /// A job was dropped.
     Dropped(JobId),
 }
@@ -148,8 +165,8 @@
 
 /// Record of a machine's last order.
 #[must_use]
-pub fn order(machine: &str, at: u64) -> Entry {
-    Entry { key: format!("{ORDER_KEY}{machine}"), value: encode(&at) }
+pub fn order(machine: &str, order: &LastOrder) -> Entry {
+    Entry { key: format!("{ORDER_KEY}{machine}"), value: encode(order) }
 }
 
 /// Decodes a record of the intake.
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::dispatch::WaveProgress;
 use crate::ids::JobId;
-use crate::record::{Change, Intake, Owner};
+use crate::record::{Change, Intake, LastOrder, Owner};
 use crate::spec::Submission;
 
 pub use progress::{Occurrence, Phase, Place, Progress, Task, TaskState, each_task};
@@ -76,8 +76,8 @@
     canceled: BTreeSet<JobId>,
     /// Newest owner.
     pub owner: Owner,
-    /// Times of day of the last orders of machines, in milliseconds since 1970.
-    pub orders: BTreeMap<String, u64>,
+    /// Last orders of machines.
+    pub orders: BTreeMap<String, LastOrder>,
     /// Waves of upkeep.
     pub waves: BTreeMap<u64, WaveProgress>,
 }
--- a/crates/jobs/tests/moves.rs
+++ b/crates/jobs/tests/moves.rs
@@ -4,6 +4,7 @@
 
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::Shown;
+use rstest::rstest;
 use support::{World, catalog, cores, job, step, task};
 
 /// A pool that is asked for more than it holds gets machines from standby, and they go back afterwards.
@@ -81,6 +82,35 @@
     assert!(again.is_none_or(|(later, _, _)| *later >= at + 3_500), "{again:?} after {at}");
 }
 
+/// After a restart of all processes no machine moved for 3.5 s, although no other holder had ordered any.
+#[rstest]
+#[case::same_instance("node1", true)]
+#[case::other_instance("node2", false)]
+fn the_next_process_of_the_owners_instance_orders_machines_soon(#[case] next: &str, #[case] soon: bool) {
+    let mut catalog = catalog();
+    catalog.pools.retain(|pool| pool.name != "blue");
+    let mut world = World::with(catalog, &[("red", 2), ("spare", 4)]);
+    world.take_over_as("node1");
+    world.play(500);
+    let surge = |world: &mut World, first: u64, length: u64| {
+        for id in first..first + 8 {
+            world.submit(job(id, vec![step(8, cores(2), length)]));
+        }
+    };
+    surge(&mut world, 1, 300);
+    let parked = |world: &World| world.moves.iter().filter(|(_, _, pool)| pool == "spare").count();
+    while parked(&world) == 0 {
+        world.round();
+    }
+    // The machines are on their way and back before the surge.
+    world.play(1_600);
+    world.take_over_as(next);
+    let before = world.moves.len();
+    surge(&mut world, 101, 2_000);
+    world.play(2_000);
+    assert_eq!(world.moves.len() > before, soon, "{:?}", &world.moves[before..]);
+}
+
 #[test]
 fn filling_tasks_slow_down_while_a_serving_task_is_over_its_target() {
     let mut world = World::new(1);
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -134,6 +134,24 @@
     .await;
 }
 
+/// After a loss of all processes the work waited until the group had given up the former owner, which its own next
+/// process had proved to be gone.
+#[tokio::test(start_paused = true)]
+async fn the_next_process_of_the_owners_instance_goes_on_before_the_group_gives_it_up() {
+    Cluster::run(3, |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 4)).await, Answer::Accepted(_)));
+        let owner = cluster.owner();
+        cluster.kill(owner);
+        let next = cluster.restart(owner);
+        cluster.settle(700).await;
+        assert!(cluster.owned_by(&next));
+        cluster.settle(4_000).await;
+        assert_eq!(cluster.call((owner + 1) % 3, read(1)).await, Answer::State(Shown::Completed));
+        assert_eq!(cluster.doubled(), 0);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_owner_that_stops_hands_the_work_over() {
     Cluster::run(2, |cluster| async move {
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -421,6 +421,8 @@
 /// Nodes over one platform.
 pub(crate) struct Cluster {
     world: Rc<RefCell<World>>,
+    grown: Rc<Notify>,
+    begun: Instant,
     members: Vec<Member>,
 }
 
@@ -450,20 +452,38 @@
         }
         let grown = Rc::new(Notify::new());
         let begun = Instant::now();
-        let members = (0..nodes).map(|index| {
-            let dead = Rc::new(Cell::new(false));
-            let (world, grown) = (Rc::clone(&world), Rc::clone(&grown));
-            let platform = Memory { world, grown, begun, dead: Rc::clone(&dead) };
-            let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
-            let name = format!("node-{index}");
-            let options = Options { append_bytes: APPEND_BYTES, ..Options::new(name.clone()) };
-            let node = Node::new(platform, options, handle.clone());
-            let stop = Rc::new(Notify::new());
-            let stopped = Rc::clone(&stop);
-            spawn_local(node.run(calls, async move { stopped.notified().await }, async {}));
-            Member { handle, dead, stop, name }
-        });
-        Self { members: members.collect(), world }
+        let mut cluster = Self { world, grown, begun, members: Vec::new() };
+        cluster.members = (0..nodes).map(|index| cluster.boot(format!("node{index}-1000"))).collect();
+        cluster
+    }
+
+    /// Starts a process.
+    fn boot(&self, name: String) -> Member {
+        let dead = Rc::new(Cell::new(false));
+        let (world, grown) = (Rc::clone(&self.world), Rc::clone(&self.grown));
+        let platform = Memory { world, grown, begun: self.begun, dead: Rc::clone(&dead) };
+        let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
+        let options = Options { append_bytes: APPEND_BYTES, ..Options::new(name.clone()) };
+        let node = Node::new(platform, options, handle.clone());
+        let stop = Rc::new(Notify::new());
+        let stopped = Rc::clone(&stop);
+        spawn_local(node.run(calls, async move { stopped.notified().await }, async {}));
+        Member { handle, dead, stop, name }
+    }
+
+    /// Starts a later process of a node that was killed.
+    pub(crate) fn restart(&self, node: usize) -> String {
+        let name = format!("node{node}-2000");
+        self.boot(name.clone());
+        name
+    }
+
+    /// True if the newest claim is that of a process.
+    pub(crate) fn owned_by(&self, name: &str) -> bool {
+        let world = self.world.borrow();
+        let log = world.logs.get(&Topic::Progress).expect("there is an owner");
+        let claim = log.entries.iter().rfind(|entry| entry.key == "owner").expect("there is an owner");
+        claim.value.windows(name.len()).any(|part| part == name.as_bytes())
     }
 
     /// Lets time pass.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -15,7 +15,7 @@
 use rattanfall_jobs::dispatch::{Dispatcher, Write};
 use rattanfall_jobs::ids::{JobId, TaskId};
 use rattanfall_jobs::ports::MachineOutcome;
-use rattanfall_jobs::record::{Entry, Intake, read_change};
+use rattanfall_jobs::record::{Entry, Intake, Owner, read_change};
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 use rattanfall_jobs::table::{Shown, Table};
 
@@ -400,8 +400,14 @@
         }
     }
 
-    /// Replaces the owner by one that knows only what is stored.
+    /// Replaces the owner by one of another instance that knows only what is stored.
     pub(crate) fn take_over(&mut self) {
+        let instance = format!("node{}", self.epoch + 1);
+        self.take_over_as(&instance);
+    }
+
+    /// Replaces the owner by a process of an instance that knows only what is stored.
+    pub(crate) fn take_over_as(&mut self, instance: &str) {
         let mut table = Table::default();
         for submission in &self.submissions {
             table.take_in(Intake::Submitted(submission.clone()));
@@ -413,6 +419,7 @@
             table.follow(read_change(entry).expect("own records decode"));
         }
         self.epoch += 1;
+        table.owner = Owner { epoch: self.epoch, name: format!("{instance}-{}", self.epoch) };
         let catalog = Arc::clone(&self.catalog);
         self.dispatcher =
             Dispatcher::new(Options::default(), self.epoch, table, catalog, self.now, UNIX + self.now);
