Show accepted jobs, their owner, moves and waves to operators, and explain waits

Cause: rattanctl and the operators' interface knew nothing of jobs; the log was the only way to see who owns the work or why a job waits. Ruled out: the operators' interface of the entry instances, which has a credential that the platform's settings do not carry; the views only read and are served at the address of the metrics.

--- a/crates/ctl/src/args/mod.rs
+++ b/crates/ctl/src/args/mod.rs
@@ -42,6 +42,10 @@
         .subcommand(pools())
         .subcommand(Command::new("status").about("Shows members, pools, teams, zones and workers"))
         .subcommand(explain())
+        .subcommand(
+            Command::new("work").about("Shows the owner of accepted work, jobs, pools, moves and waves"),
+        )
+        .subcommand(job())
 }
 
 fn connection() -> [Arg; 3] {
@@ -161,6 +165,11 @@
     Command::new("explain").about("Tells what a task waits for or why it ended").arg(task)
 }
 
+fn job() -> Command {
+    let id = Arg::new("id").value_name("ID").required(true).help("Job id, 16 hexadecimal digits");
+    Command::new("job").about("Shows a job's steps and tells what they wait for").arg(id)
+}
+
 fn group(name: &'static str, about: &'static str) -> Command {
     Command::new(name).about(about).subcommand_required(true).arg_required_else_help(true)
 }
--- a/crates/ctl/src/client/mod.rs
+++ b/crates/ctl/src/client/mod.rs
@@ -42,16 +42,26 @@
     ///
     /// Fails if no address or no credential is given.
     pub fn new(matches: &ArgMatches) -> Result<Self, CtlError> {
+        let client = Self::reader(matches)?;
+        if client.credential.is_empty() {
+            let message = "no credential: set RATTANFALL_CREDENTIAL or --credential";
+            return Err(CtlError::new(Kind::Usage, message));
+        }
+        Ok(client)
+    }
+
+    /// Creates a client for interfaces that only read and need no credential.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address is given.
+    pub fn reader(matches: &ArgMatches) -> Result<Self, CtlError> {
         let addresses: Vec<String> = matches
             .get_many::<String>(args::OPERATOR)
             .ok_or_else(|| CtlError::new(Kind::Usage, "no address: set --operator or RATTANFALL_OPERATOR"))?
             .map(|address| address.trim().trim_start_matches("http://").trim_end_matches('/').to_owned())
             .collect();
         let credential = args::text(matches, args::CREDENTIAL).to_owned();
-        if credential.is_empty() {
-            let message = "no credential: set RATTANFALL_CREDENTIAL or --credential";
-            return Err(CtlError::new(Kind::Usage, message));
-        }
         let timeout = matches.get_one::<u64>(args::TIMEOUT).copied().unwrap_or_default();
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|error| CtlError::new(Kind::Unavailable, error.to_string()))?;
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod status;
 mod validate;
+mod work;
 
 use clap::ArgMatches;
 
@@ -32,6 +33,8 @@
         "apply" => config::apply(sub, &Client::new(sub)?, &mut context),
         "status" => status::run(&Client::new(sub)?, &mut context),
         "explain" => explain::run(sub, &mut context),
+        "work" => work::show(&Client::reader(sub)?, &mut context),
+        "job" => work::job(sub, &Client::reader(sub)?, &mut context),
         group => run_group(group, sub, &mut context),
     }
 }
--- a/crates/ctl/tests/operator.rs
+++ b/crates/ctl/tests/operator.rs
@@ -10,6 +10,7 @@
 use rattanctl::Exit;
 use rattanfall_core::declaration::{Declaration, Exception, Pool, Team};
 use rattanfall_wire::operator::{Accepted, Config, Explanation, Status};
+use rattanfall_wire::work::{Count, Job, Move, Place, Pool as PoolView, Step, Wave, Work};
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::{Fake, Reply, refusing_address, run, run_at, stable};
@@ -320,3 +321,67 @@
     assert_eq!(ran.exit, Exit::Usage);
     assert!(ran.err.contains(message), "{}", ran.err);
 }
+
+fn counted(name: &str, count: u64) -> Count {
+    Count { name: name.into(), count }
+}
+
+/// Guards against a view of accepted work that leaves out the owner, its orders or the waves.
+#[test]
+fn work_shows_owner_pools_moves_and_waves() {
+    let work = Work {
+        instance: "edge-a-1-18d".into(),
+        version: 7,
+        owner: "edge-a-1-18d".into(),
+        epoch: 3,
+        age_ms: Some(12),
+        jobs: vec![counted("running", 12), counted("completed", 340)],
+        waiting: vec![counted("quotes", 2)],
+        pools: vec![PoolView {
+            name: "orders".into(),
+            workers: 9,
+            open: 8,
+            runs: 71,
+            used_percent: 64,
+            wanted: 11,
+        }],
+        moves: vec![Move {
+            machine: "m-1".into(),
+            pool: "spare".into(),
+            goal: "pool orders".into(),
+            stage: "taken".into(),
+        }],
+        waves: vec![Wave { number: 1, machines: 24, begun: 9 }],
+    };
+    let fake = Fake::start([Reply::json(&work), Reply::json(&work)]);
+    let addresses = [fake.address.as_str()];
+    assert_snapshot!("work", run_at(&addresses, &["work"], "").out);
+    let elsewhere = Work { instance: "edge-b-1-18d".into(), pools: Vec::new(), ..work };
+    let fake = Fake::start([Reply::json(&elsewhere)]);
+    let ran = run_at(&[fake.address.as_str()], &["work"], "");
+    assert!(ran.err.contains("known to the owner, edge-a-1-18d"), "{}", ran.err);
+}
+
+/// Guards against a job whose wait cannot be explained from its id.
+#[test]
+fn job_tells_what_its_steps_wait_for() {
+    let id = "5c0e7a21d94b36f8";
+    let job = Job {
+        id: id.into(),
+        queue: "quotes".into(),
+        team: Some("moss".into()),
+        state: "running".into(),
+        steps: vec![
+            Step { waiting: 1, placed: 2, done: 3, ..Step::default() },
+            Step { step: 1, waiting: 4, failures: 1, ..Step::default() },
+        ],
+        places: vec![Place { task: format!("{id}.0.0.1"), run: 2, worker: "w-1".into() }],
+        reasons: vec!["step 0 of occurrence 0 waits: all workers of pool orders are full".into()],
+    };
+    let fake = Fake::start([Reply::json(&job), Reply::error(404, "unknown-entity", "no such job")]);
+    let addresses = [fake.address.as_str()];
+    assert_snapshot!("job", run_at(&addresses, &["job", id], "").out);
+    assert_eq!(run_at(&addresses, &["job", id], "").exit, Exit::Input);
+    assert_eq!(run_at(&addresses, &["job", "later"], "").exit, Exit::Input);
+    assert!(fake.lines()[0].starts_with(&format!("GET /v1/work/jobs/{id}")), "{:?}", fake.lines());
+}
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -52,7 +52,7 @@
     fast: Rate,
     slow: Rate,
     /// Machines that are needed.
-    pub(super) machines: u64,
+    pub(in super::super) machines: u64,
     /// Machines that are kept while no other pool needs them.
     pub(super) kept: u64,
     /// Time from which fewer machines were wanted than there are.
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -37,6 +37,13 @@
     told: u64,
 }
 
+impl Wave {
+    /// Machines in all.
+    pub(in super::super) const fn machines(&self) -> usize {
+        self.plan.machines.len()
+    }
+}
+
 impl Dispatcher {
     /// Takes note of a wave.
     pub fn plan_wave(&mut self, now: u64, plan: event::Wave) {
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -11,6 +11,7 @@
 mod runs;
 mod stragglers;
 mod takeover;
+mod views;
 
 pub(super) use advice::Advice;
 pub(super) use fleet::Fleet;
--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -256,7 +256,7 @@
         best.map(|(_, key)| key)
     }
 
-    fn within_limit(&self, task: TaskId, need: Resources) -> bool {
+    pub(super) fn within_limit(&self, task: TaskId, need: Resources) -> bool {
         let Some(team) = self.table.get(task.job).and_then(|job| job.submission.team.as_deref()) else {
             return true;
         };
--- /dev/null
+++ b/crates/jobs/src/dispatch/systems/views.rs
@@ -0,0 +1,116 @@
+//! Views for operators: pools, machines under orders, and what a job waits for.
+
+use rattanfall_wire::work::{Move, Pool};
+
+use super::super::Dispatcher;
+use super::fleet::{Goal, Stage};
+use crate::ids::{JobId, TaskId};
+use crate::spec::Step;
+use crate::table::{Phase, TaskState, each_task};
+
+impl Dispatcher {
+    /// Pools of the configuration, without standby.
+    #[must_use]
+    pub fn pools(&self, now: u64) -> Vec<Pool> {
+        let pools = self.catalog.pools.iter().filter(|pool| !pool.standby);
+        pools.map(|pool| self.pool(now, &pool.name)).collect()
+    }
+
+    fn pool(&self, now: u64, name: &str) -> Pool {
+        let mut view = Pool { name: name.to_owned(), ..Pool::default() };
+        let (mut used, mut capacity) = (0, 0);
+        for worker in self.workers.values().filter(|w| w.listed && w.sighting.pool == name) {
+            view.workers += 1;
+            view.open += u64::from(worker.open(now));
+            view.runs += worker.runs.len() as u64;
+            used += worker.used.cpu;
+            capacity += worker.sighting.capacity.cpu;
+        }
+        view.used_percent = used * 100 / capacity.max(1);
+        view.wanted = self.fleet.demand.get(name).map_or(0, |demand| demand.machines);
+        view
+    }
+
+    /// Machines under an order.
+    #[must_use]
+    pub fn moves(&self) -> Vec<Move> {
+        let ordered = self.fleet.rows.values().filter_map(|row| Some((row, row.order.as_ref()?)));
+        let view = |goal: &Goal| match goal {
+            Goal::Upkeep(wave) => format!("wave {wave}"),
+            Goal::Pool(pool) => format!("pool {pool}"),
+        };
+        let stage = |stage: Stage| match stage {
+            Stage::Emptying(_) => "emptying",
+            Stage::Ordered => "ordered",
+            Stage::Waiting(_) => "waiting",
+            Stage::Taken(_) => "taken",
+        };
+        ordered
+            .map(|(row, order)| Move {
+                machine: row.machine.name.clone(),
+                pool: row.machine.pool.clone(),
+                goal: view(&order.goal),
+                stage: stage(order.stage).to_owned(),
+            })
+            .collect()
+    }
+
+    /// Machines of a wave; 0 if it is not known.
+    #[must_use]
+    pub fn wave_size(&self, number: u64) -> u64 {
+        self.fleet.waves.get(&number).map_or(0, |wave| wave.machines() as u64)
+    }
+
+    /// Why tasks of a job wait, one sentence for each step.
+    #[must_use]
+    pub fn explain(&self, now: u64, id: JobId) -> Vec<String> {
+        let Some(job) = self.table.get(id) else { return Vec::new() };
+        if job.progress.phase != Phase::Active {
+            return Vec::new();
+        }
+        let mut reasons = Vec::new();
+        for occurrence in &job.progress.occurrences {
+            for (number, step) in job.submission.steps.iter().enumerate() {
+                let number = u16::try_from(number).unwrap_or(u16::MAX);
+                let mut waiting = each_task(&job.submission, occurrence)
+                    .filter(|(id, task)| id.step == number && task.state == TaskState::Waiting);
+                let Some((task, _)) = waiting.next() else { continue };
+                let why = if occurrence.step_ready(&job.submission, usize::from(number)) {
+                    self.explain_task(now, task, step)
+                } else {
+                    let open = |before: &&u16| !occurrence.step_done(&job.submission, usize::from(**before));
+                    let before: Vec<String> = step.after.iter().filter(open).map(u16::to_string).collect();
+                    format!("it comes after step {}, which is not done", before.join(", "))
+                };
+                reasons.push(format!("step {number} of occurrence {} waits: {why}", occurrence.number));
+            }
+        }
+        reasons
+    }
+
+    fn explain_task(&self, now: u64, task: TaskId, step: &Step) -> String {
+        let Some(job) = self.table.get(task.job) else { return "the job is not known".into() };
+        if !self.within_limit(task, step.need) {
+            return "its team has reached its upper limit".into();
+        }
+        let pool = self.terms(&job.submission).pool;
+        let workers = || self.workers.values().filter(|w| w.listed && w.sighting.pool == pool);
+        let open = || workers().filter(|w| w.open(now) && !self.evacuated.contains(&w.sighting.zone));
+        let labelled =
+            || open().filter(|w| step.label.as_ref().is_none_or(|label| w.sighting.labels.contains(label)));
+        if workers().next().is_none() {
+            format!("pool {pool} has no worker")
+        } else if open().next().is_none() {
+            format!("no worker of pool {pool} takes tasks: they drain, are evacuated, or do not answer")
+        } else if labelled().next().is_none() {
+            format!("no worker of pool {pool} that takes tasks has the label {:?}", step.label)
+        } else if !labelled().any(|w| step.room().fits(w.sighting.capacity)) {
+            format!("no worker of pool {pool} is large enough for a task")
+        } else if !labelled().any(|w| w.fits(step.room())) {
+            format!("all workers of pool {pool} are full")
+        } else {
+            "a worker has room; jobs that are more urgent go first, or its other conditions are not met"
+                .into()
+        }
+    }
+}
--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -29,12 +29,20 @@
     /// Answers calls until the senders are gone.
     pub(super) async fn answer_calls(self: Rc<Self>, mut calls: mpsc::Receiver<Message>) {
         while let Some(message) = calls.recv().await {
+            let (call, sender) = match message {
+                Message::Call(call, sender) => (call, sender),
+                Message::Query(query, sender) => {
+                    // An operator who has gone needs no answer.
+                    let _ = sender.send(self.view(query));
+                    continue;
+                }
+            };
             self.state.borrow_mut().open_calls += 1;
             let node = Rc::clone(&self);
             spawn_local(async move {
                 let begun = Instant::now();
-                let path = message.call.path.clone();
-                let answer = node.answer(message.call).await;
+                let path = call.path.clone();
+                let answer = node.answer(call).await;
                 node.log_refusal(&path, answer);
                 node.handle.meters.answered(answer.kind(), begun.elapsed());
                 if let Answer::Refused(refusal, _) = answer {
@@ -42,7 +50,7 @@
                 }
                 node.state.borrow_mut().open_calls -= 1;
                 // A caller that has gone needs no answer.
-                let _ = message.answer.send(answer);
+                let _ = sender.send(answer);
             });
         }
     }
--- a/crates/jobs/src/node/calls/mod.rs
+++ b/crates/jobs/src/node/calls/mod.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
+use super::view::{Query, View};
 use crate::ids::JobId;
 use crate::metrics::{Meters, MetricsError};
 use crate::spec::{BadJob, Schedule, Step};
@@ -124,13 +125,13 @@
     }
 }
 
-/// Message to the node.
+/// Message to the node, and where its answer goes.
 #[derive(Debug)]
-pub struct Message {
-    /// Call.
-    pub call: Call,
-    /// Where the answer goes.
-    pub answer: oneshot::Sender<Answer>,
+pub enum Message {
+    /// Call of a caller.
+    Call(Call, oneshot::Sender<Answer>),
+    /// Query of an operator.
+    Query(Query, oneshot::Sender<View>),
 }
 
 /// Handle to a node for servers on other threads.
@@ -168,9 +169,15 @@
     /// Makes a call.
     pub async fn call(&self, call: Call) -> Answer {
         let (answer, wait) = oneshot::channel();
-        if self.calls.send(Message { call, answer }).await.is_err() {
+        if self.calls.send(Message::Call(call, answer)).await.is_err() {
             return Answer::Refused(Refusal::Stopping, 1);
         }
         wait.await.unwrap_or(Answer::Unknown)
     }
+    /// Asks for a view. None if the node stops.
+    pub async fn view(&self, query: Query) -> Option<View> {
+        let (answer, wait) = oneshot::channel();
+        self.calls.send(Message::Query(query, answer)).await.ok()?;
+        wait.await.ok()
+    }
 }
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod options;
 mod own;
 mod state;
+pub mod view;
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/jobs/src/node/view/mod.rs
@@ -0,0 +1,142 @@
+//! Views of the work for operators.
+
+use std::collections::BTreeMap;
+
+use rattanfall_wire::work::{Count, Job, Place, Step, Wave, Work};
+
+use super::Node;
+use super::state::Role;
+use crate::ids::JobId;
+use crate::ports::Platform;
+use crate::table::{self, Shown, TaskState, each_task};
+
+/// What an operator wants to see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Query {
+    /// The whole work.
+    Work,
+    /// One job.
+    Job(JobId),
+}
+
+/// What an operator sees.
+#[derive(Clone, Debug, PartialEq)]
+pub enum View {
+    /// The whole work.
+    Work(Box<Work>),
+    /// One job.
+    Job(Box<Job>),
+    /// No such job.
+    Missing,
+}
+
+impl<P: Platform> Node<P> {
+    pub(super) fn view(&self, query: Query) -> View {
+        match query {
+            Query::Work => View::Work(Box::new(self.view_work())),
+            Query::Job(id) => self.view_job(id).map_or(View::Missing, |job| View::Job(Box::new(job))),
+        }
+    }
+
+    fn view_work(&self) -> Work {
+        let now = self.now();
+        let state = self.state.borrow();
+        let table = state.table();
+        let mut jobs: BTreeMap<&str, u64> = BTreeMap::new();
+        for job in table.jobs() {
+            *jobs.entry(name(job.shown())).or_default() += 1;
+        }
+        let owned = match &state.role {
+            Role::Owner(dispatcher) => Some(dispatcher),
+            Role::Follower(_) => None,
+        };
+        let waves = table.waves.iter().map(|(&number, wave)| Wave {
+            number,
+            machines: owned.map_or(0, |dispatcher| dispatcher.wave_size(number)),
+            begun: wave.begun.len() as u64,
+        });
+        Work {
+            instance: self.options.name.clone(),
+            version: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            owner: table.owner.name.clone(),
+            epoch: table.owner.epoch,
+            age_ms: state.intake.fresh.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX)),
+            jobs: counts(jobs),
+            waiting: counts(table.pending()),
+            pools: owned.map(|dispatcher| dispatcher.pools(now)).unwrap_or_default(),
+            moves: owned.map(|dispatcher| dispatcher.moves()).unwrap_or_default(),
+            waves: waves.collect(),
+        }
+    }
+
+    fn view_job(&self, id: JobId) -> Option<Job> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let job = state.table().get(id)?;
+        let reasons = match (&state.role, job.shown()) {
+            (_, Shown::Completed) => vec!["all its tasks are done".to_owned()],
+            (_, Shown::Canceled) => vec!["it was cancelled".to_owned()],
+            (_, Shown::Failed) => vec!["a task failed as often as its queue allows".to_owned()],
+            (Role::Owner(dispatcher), _) => dispatcher.explain(now, id),
+            (Role::Follower(table), _) => {
+                vec![format!("ask the owner, {}, why tasks wait", table.owner.name)]
+            }
+        };
+        Some(Job {
+            id: id.to_string(),
+            queue: job.submission.queue.clone(),
+            team: job.submission.team.clone(),
+            state: name(job.shown()).to_owned(),
+            steps: steps(job),
+            places: places(job),
+            reasons,
+        })
+    }
+}
+
+fn counts(counts: BTreeMap<&str, u64>) -> Vec<Count> {
+    counts.into_iter().map(|(name, count)| Count { name: name.to_owned(), count }).collect()
+}
+
+fn steps(job: &table::Job) -> Vec<Step> {
+    let mut rows = Vec::new();
+    for occurrence in &job.progress.occurrences {
+        for step in 0..job.submission.steps.len() {
+            let tasks = occurrence.step(&job.submission, step);
+            let count = |wanted: fn(&TaskState) -> bool| {
+                tasks.iter().filter(|task| wanted(&task.state)).count() as u64
+            };
+            rows.push(Step {
+                occurrence: occurrence.number,
+                step: u16::try_from(step).unwrap_or(u16::MAX),
+                waiting: count(|state| *state == TaskState::Waiting),
+                placed: count(|state| matches!(state, TaskState::Placed(_))),
+                done: count(|state| *state == TaskState::Done),
+                failures: tasks.iter().map(|task| u64::from(task.failures())).sum(),
+            });
+        }
+    }
+    rows
+}
+
+fn places(job: &table::Job) -> Vec<Place> {
+    let tasks = job.progress.occurrences.iter().flat_map(|occurrence| each_task(&job.submission, occurrence));
+    tasks
+        .filter_map(|(id, task)| match &task.state {
+            TaskState::Placed(place) => {
+                Some(Place { task: id.to_string(), run: task.run, worker: place.worker.clone() })
+            }
+            TaskState::Waiting | TaskState::Done => None,
+        })
+        .collect()
+}
+
+const fn name(shown: Shown) -> &'static str {
+    match shown {
+        Shown::Queued => "queued",
+        Shown::Running => "running",
+        Shown::Completed => "completed",
+        Shown::Failed => "failed",
+        Shown::Canceled => "canceled",
+    }
+}
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use platform::{Cluster, Fault, call, read, submit};
+use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Answer, Verb};
+use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::table::Shown;
 use rstest::rstest;
 
@@ -227,3 +229,24 @@
     })
     .await;
 }
+
+/// Guards against views that differ between the owner and the others in what both know.
+#[tokio::test(start_paused = true)]
+async fn every_node_shows_the_owner_and_the_jobs() {
+    Cluster::run(2, |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 2)).await, Answer::Accepted(_)));
+        cluster.settle(3_000).await;
+        let owner = cluster.owner();
+        for node in 0..2 {
+            let Some(View::Work(work)) = cluster.view(node, Query::Work).await else { panic!("no view") };
+            assert!(cluster.owned_by(&work.owner));
+            assert_eq!(work.pools.is_empty(), node != owner);
+            let Some(View::Job(job)) = cluster.view(node, Query::Job(JobId(1))).await else {
+                panic!("no job")
+            };
+            assert_eq!((job.state.as_str(), job.reasons.len()), ("completed", 1));
+            assert_eq!(cluster.view(node, Query::Job(JobId(9))).await, Some(View::Missing));
+        }
+    })
+    .await;
+}
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -269,3 +269,29 @@
     // The rush alone asks for four times what the pool holds; the other team asks for two fifths of it.
     assert!(on_time >= 10, "{on_time} of 12 jobs of the other team on time");
 }
+
+/// An operator could not tell why a job waits.
+#[test]
+fn an_operator_is_told_what_each_step_waits_for() {
+    let mut world = World::new(1);
+    let second = Step { after: vec![0], ..step(1, cores(1), 500) };
+    world.submit(job(1, vec![step(2, cores(12), 5_000), second]));
+    world.submit(job(2, vec![step(1, cores(40), 500)]));
+    world.submit(job(3, vec![Step { label: Some("large".into()), ..step(1, cores(1), 500) }]));
+    world.play(500);
+    let explain = |id: u64| world.dispatcher.explain(world.now, JobId(id));
+    assert_eq!(
+        explain(1),
+        [
+            "step 0 of occurrence 0 waits: all workers of pool red are full",
+            "step 1 of occurrence 0 waits: it comes after step 0, which is not done",
+        ]
+    );
+    assert_eq!(
+        explain(2),
+        ["step 0 of occurrence 0 waits: no worker of pool red is large enough for a task"]
+    );
+    assert!(explain(3)[0].contains("has the label"), "{:?}", explain(3));
+    let pool = &world.dispatcher.pools(world.now)[0];
+    assert_eq!((pool.workers, pool.open, pool.runs, pool.used_percent), (1, 1, 1, 75));
+}
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -14,6 +14,7 @@
 use rattanfall_jobs::node::Node;
 use rattanfall_jobs::node::calls::{Answer, Call, Draft, Handle, Verb};
 use rattanfall_jobs::node::options::Options;
+use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::ports::{
     Fence, Foreign, Instruction, MachineOutcome, Machines, Page, Platform, Store, StoreError, Tickets, Topic,
     Upstreams,
@@ -495,6 +496,10 @@
         self.members[node].handle.call(call).await
     }
 
+    pub(crate) async fn view(&self, node: usize, query: Query) -> Option<View> {
+        self.members[node].handle.view(query).await
+    }
+
     pub(crate) fn ready(&self, node: usize) -> bool {
         self.members[node].handle.ready()
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod work;
 pub mod worker;
