Read without a wait at the store after a failure

Cause: after an outage of 10 s the instances took calls again 0.78 s after the store's return: a read that waits at the store is given up only after its wait and its time limit. Ruled out: a shorter time limit, which a slow store would break. Change: after a failed read the next one does not wait, so that it is given up after the limit alone. The new test failed before for 5 of 6 phases.

--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -32,12 +32,14 @@
 impl<P: Platform> Node<P> {
     /// Follows what operators want.
     pub(super) async fn follow_operator(self: Rc<Self>) {
+        let mut wait = OPERATOR_WAIT;
         loop {
             let next = self.state.borrow().operator.next;
             let page = match next {
                 None => self.platform.store().newest(Topic::Operator).await,
-                Some(from) => self.platform.store().read(Topic::Operator, from, OPERATOR_WAIT).await,
+                Some(from) => self.platform.store().read(Topic::Operator, from, wait).await,
             };
+            wait = wait_after(&page, OPERATOR_WAIT);
             match page {
                 Ok(page) => self.take_instructions(&page, next.is_none()),
                 Err(StoreError::Gone(_)) => self.state.borrow_mut().operator.next = None,
@@ -99,6 +101,7 @@
 
     /// Follows accepted and cancelled jobs.
     pub(super) async fn follow_intake(self: Rc<Self>) {
+        let mut wait = WAIT;
         loop {
             let (next, owner) = {
                 let state = self.state.borrow();
@@ -108,7 +111,9 @@
                 self.load_jobs().await;
                 continue;
             };
-            match self.read_intake_from(from, WAIT).await {
+            let read = self.read_intake_from(from, wait).await;
+            wait = wait_after(&read, WAIT);
+            match read {
                 Ok(()) if owner => sleep(OWNER_GAP).await,
                 Ok(()) => sleep(self.options.follow_gap).await,
                 Err(_) => sleep(RETRY).await,
@@ -192,6 +197,7 @@
 
     /// Follows the progress of jobs while another node owns the work.
     pub(super) async fn follow_progress(self: Rc<Self>) {
+        let mut wait = WAIT;
         loop {
             let next = {
                 let state = self.state.borrow();
@@ -201,7 +207,9 @@
                 sleep(RETRY).await;
                 continue;
             };
-            match self.read_progress_from(from, WAIT).await {
+            let read = self.read_progress_from(from, wait).await;
+            wait = wait_after(&read, WAIT);
+            match read {
                 Ok(()) => sleep(self.options.follow_gap).await,
                 Err(_) => sleep(RETRY).await,
             }
@@ -335,6 +343,11 @@
     }
 }
 
+/// Wait of the next read. After a failure it is none, so that the store's return is noticed within the time limit alone.
+const fn wait_after<T>(read: &Result<T, StoreError>, wait: Duration) -> Duration {
+    if read.is_ok() { wait } else { Duration::ZERO }
+}
+
 fn decode_change(entry: &Entry) -> Option<Change> {
     match read_change(entry) {
         Ok(change) => Some(change),
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -116,6 +116,24 @@
     .await;
 }
 
+/// Reads that wait at the store noticed its return only after their wait and their time limit.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn the_return_of_the_store_is_noticed_within_the_time_limit_of_a_read(
+    #[values(0, 300, 600, 900, 1_200, 1_500)] phase: u64,
+) {
+    Cluster::run(1, move |cluster| async move {
+        cluster.settle(2_000).await;
+        cluster.fault(Fault::Silent);
+        cluster.settle(5_000 + phase).await;
+        cluster.fault(Fault::None);
+        // Time limit of a read without a wait, the pause before the next one, and the check of readiness.
+        cluster.settle(900 + 150 + 100 + 50).await;
+        assert!(cluster.ready(0));
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn another_node_goes_on_when_the_owner_is_killed() {
     Cluster::run(3, |cluster| async move {
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -100,13 +100,18 @@
     }
 
     async fn guard(&self, writes: bool) -> Result<(), StoreError> {
+        self.guard_for(writes, Duration::ZERO).await
+    }
+
+    /// As `guard`, for a call that waits at the store; an answer is missed only after that wait.
+    async fn guard_for(&self, writes: bool, wait: Duration) -> Result<(), StoreError> {
         self.live().await;
         sleep(STORE).await;
         let fault = self.world.borrow().fault;
         match fault {
             Fault::Refuse if writes => Err(StoreError::Refused),
             Fault::Silent => {
-                sleep(LIMIT).await;
+                sleep(LIMIT + wait).await;
                 Err(StoreError::Unknown)
             }
             _ => Ok(()),
@@ -159,7 +164,7 @@
     }
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
-        self.guard(false).await?;
+        self.guard_for(false, wait).await?;
         let deadline = Instant::now() + wait;
         loop {
             let grown = self.grown.notified();
