Give the work to machines with most processor

Cause: on the grown deployments machines have 0.12 or 0.5 cores. Change: a member's name carries its processor; succession goes by processor, then by start; a member with twice the processor takes the work over from a living owner.

--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -25,9 +25,22 @@
 const APPEARANCE: Duration = Duration::from_millis(1_500);
 /// Starts within this time count as one, in milliseconds: the clocks of instances differ a little.
 const START_MS: u64 = 1_000;
+/// Times the owner's processor from which a member takes the work over from a living owner.
+const OUTRANKS: u64 = 2;
 /// First sequence numbers are random below this, so that two claims of one epoch never look like one append.
 const FIRST_SEQUENCE: u64 = 1 << 31;
 
+/// Place of this instance in the succession.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// The work stays where it is, or another instance follows.
+    Stays,
+    /// A new owner has still to appear in the group.
+    Waits,
+    /// This instance is to claim the work.
+    Heir,
+}
+
 /// What became of a try to claim the work.
 enum Claim {
     /// This instance owns the work.
@@ -42,7 +55,7 @@
     /// Stays in the group, and claims the work when its owner has left.
     pub(super) async fn keep_share(self: Rc<Self>) {
         let mut generation = 0;
-        let mut heir = false;
+        let mut claim = Standing::Stays;
         let mut gap = Duration::ZERO;
         loop {
             let (loaded, stopping) = {
@@ -67,42 +80,46 @@
                 }
                 continue;
             }
-            if joined != generation || heir {
+            if joined != generation || claim != Standing::Stays {
                 match self.platform.store().members().await {
                     Ok(members) => {
                         generation = joined;
-                        heir = self.inherits(&members);
+                        claim = self.standing(&members);
                     }
                     Err(_) => continue,
                 }
             }
-            if heir && !self.state.borrow().stopping {
+            if claim == Standing::Heir && !self.state.borrow().stopping {
                 self.claim_work().await;
             }
         }
     }
 
-    /// True if the owner has left the group and this instance is to follow it.
+    /// Whether this instance is to own the work.
     ///
-    /// The work stays with a living owner, because a takeover costs a look at every worker. The instance that
-    /// started last follows: in a roll-out it is the one that is not stopped next. A later process of the owner's own
+    /// The work stays with a living owner, because a takeover costs a look at every worker, unless this instance has a
+    /// multiple of its processor: an owner that is too slow serves nobody. Of the instances with most processor the one
+    /// that started last follows: in a roll-out it is the one that is not stopped next. A later process of the owner's own
     /// instance knows before the group does that the owner has ended, and follows it at once; the others leave a new
     /// owner the time to appear in the group.
-    fn inherits(&self, members: &BTreeSet<String>) -> bool {
+    fn standing(&self, members: &BTreeSet<String>) -> Standing {
         let (owner, seen) = {
             let state = self.state.borrow();
             (state.table().owner.name.clone(), state.claim_seen)
         };
         if replaces(&self.options.name, &owner) {
-            return true;
+            return Standing::Heir;
         }
         if owner != self.options.name && seen.is_some_and(|at| at.elapsed() < APPEARANCE) {
-            return false;
+            return Standing::Waits;
         }
-        if members.contains(&owner) && owner != self.options.name {
-            return false;
+        let living = members.contains(&owner) && owner != self.options.name;
+        let first = members.iter().max_by_key(|name| rank(name)) == Some(&self.options.name);
+        if first && (!living || outranks(&self.options.name, &owner)) {
+            Standing::Heir
+        } else {
+            Standing::Stays
         }
-        members.iter().max_by_key(|name| start_of(name)) == Some(&self.options.name)
     }
 
     async fn claim_work(&self) {
@@ -217,7 +234,17 @@
     name.rsplit('-').next().and_then(|text| u64::from_str_radix(text, 16).ok()).unwrap_or(0)
 }
 
-/// Start of the process that a member's name carries, to the second, and the name to tell members that started together.
-fn start_of(name: &str) -> (u64, &str) {
-    (born(name) / START_MS, name)
+/// Order of succession: processor, start of the process to the second, and the name to tell members that started together.
+fn rank(name: &str) -> (u64, u64, &str) {
+    (processor(name), born(name) / START_MS, name)
+}
+
+/// Processor of a member's machine in thousandths of a core, the last part but one of its name; 0 if it has none.
+fn processor(name: &str) -> u64 {
+    name.rsplit('-').nth(1).and_then(|text| u64::from_str_radix(text, 16).ok()).unwrap_or(0)
+}
+
+/// True if a member has so much more processor than the owner that a takeover pays.
+fn outranks(name: &str, owner: &str) -> bool {
+    processor(owner) > 0 && processor(name) >= OUTRANKS * processor(owner)
 }
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -172,6 +172,24 @@
     .await;
 }
 
+/// On machines of two sizes a small one became the owner and was too slow to serve anybody.
+#[tokio::test(start_paused = true)]
+async fn the_work_passes_to_a_machine_with_a_multiple_of_the_processor() {
+    Cluster::run(3, |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 4)).await, Answer::Accepted(_)));
+        let similar = cluster.add("similar-a0-2000");
+        cluster.settle(3_000).await;
+        assert!(!cluster.owned_by(&similar));
+        let larger = cluster.add("larger-1f4-1000");
+        cluster.settle(3_000).await;
+        assert!(cluster.owned_by(&larger));
+        cluster.settle(4_000).await;
+        assert_eq!(cluster.call(0, read(1)).await, Answer::State(Shown::Completed));
+        assert_eq!(cluster.doubled(), 0);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_owner_that_stops_hands_the_work_over() {
     Cluster::run(2, |cluster| async move {
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -459,7 +459,7 @@
         let grown = Rc::new(Notify::new());
         let begun = Instant::now();
         let mut cluster = Self { world, grown, begun, members: Vec::new() };
-        cluster.members = (0..nodes).map(|index| cluster.boot(format!("node{index}-1000"))).collect();
+        cluster.members = (0..nodes).map(|index| cluster.boot(format!("node{index}-78-1000"))).collect();
         cluster
     }
 
@@ -479,9 +479,13 @@
 
     /// Starts a later process of a node that was killed.
     pub(crate) fn restart(&self, node: usize) -> String {
-        let name = format!("node{node}-2000");
-        self.boot(name.clone());
-        name
+        self.add(&format!("node{node}-78-2000"))
+    }
+
+    /// Starts one more process. Its name ends with its processor in thousandths of a core and its start, in hexadecimal.
+    pub(crate) fn add(&self, name: &str) -> String {
+        self.boot(name.to_owned());
+        name.to_owned()
     }
 
     /// True if the newest claim is that of a process.
