Let an owner that loads the jobs anew claim the work again

Cause: found while reading the diff. An owner whose place in the history is gone steps down and loads the jobs anew. It then followed nobody: it took an instance that ranks higher for the heir, and that one took it for a living owner, so nobody owned the work. Besides, its place in the succession could be judged from a table that was still empty, and was not judged again. Ruled out: the claim itself, which allows for an earlier claim of the same process. Change: the recorded owner is its own heir, and the succession is judged again after each load, never before it. Figures: the new node test failed before, with the job still queued after 4 s, and passes.

--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -56,6 +56,7 @@
     pub(super) async fn keep_share(self: Rc<Self>) {
         let mut generation = 0;
         let mut claim = Standing::Stays;
+        let mut loaded_before = 0;
         let mut gap = Duration::ZERO;
         loop {
             let (loaded, stopping) = {
@@ -80,10 +81,19 @@
                 }
                 continue;
             }
-            if joined != generation || claim != Standing::Stays {
+            // The jobs may have been loaded anew meanwhile, with another owner or with none yet.
+            let (loaded, loads) = {
+                let state = self.state.borrow();
+                (state.loaded(), state.loads)
+            };
+            if !loaded {
+                continue;
+            }
+            if joined != generation || loads != loaded_before || claim != Standing::Stays {
                 match self.platform.store().members().await {
                     Ok(members) => {
                         generation = joined;
+                        loaded_before = loads;
                         claim = self.standing(&members);
                     }
                     Err(_) => continue,
@@ -107,7 +117,7 @@
             let state = self.state.borrow();
             (state.table().owner.name.clone(), state.claim_seen)
         };
-        if replaces(&self.options.name, &owner) {
+        if owner == self.options.name || replaces(&self.options.name, &owner) {
             return Standing::Heir;
         }
         if owner != self.options.name && seen.is_some_and(|at| at.elapsed() < APPEARANCE) {
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -237,6 +237,24 @@
     .await;
 }
 
+/// An owner that had lost its place in the history stepped down and waited for an instance that ranked higher, which took
+/// it for a living owner: nobody owned the work any more.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_loads_the_jobs_anew_claims_the_work_again() {
+    Cluster::run(1, |cluster| async move {
+        let owner = cluster.owned_by("node0-78-1000");
+        cluster.add("similar-a0-2000");
+        cluster.settle(2_000).await;
+        assert!(owner && cluster.owned_by("node0-78-1000"));
+        cluster.compact();
+        cluster.settle(3_000).await;
+        assert!(matches!(cluster.call(0, submit(1, 2)).await, Answer::Accepted(_)));
+        cluster.settle(4_000).await;
+        assert_eq!(cluster.call(0, read(1)).await, Answer::State(Shown::Completed));
+    })
+    .await;
+}
+
 /// Two claims of one epoch look like one append to a store that answers repeats, unless their numbers differ.
 #[tokio::test(start_paused = true)]
 async fn only_one_node_owns_the_work() {
