--- a/crates/entry/src/platform/appender.rs
+++ b/crates/entry/src/platform/appender.rs
@@ -22,7 +22,7 @@
         let end = match appended {
             Ok(_) => AppendEnd::Taken,
             Err(CallError::Unsent) => AppendEnd::NotTaken,
-            Err(CallError::NoAnswer) => AppendEnd::Unknown,
+            Err(_) => AppendEnd::Unknown,
         };
         shell.handle(Event::AppendEnded { sequence: batch.sequence, end });
     }
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -74,10 +74,10 @@
         let path = format!("/log/read?from={from}&max={PAGE}&wait_ms={wait_ms}");
         let reply = call(&self.pool, &self.config.address, Call::new(Method::GET, path, wait + CALL)).await?;
         if reply.status == StatusCode::GONE {
-            let gone: LogGone = serde_json::from_slice(&reply.body).map_err(|_| CallError::NoAnswer)?;
+            let gone: LogGone = serde_json::from_slice(&reply.body).map_err(|_| CallError::Unusable)?;
             return Ok(Read::Gone { earliest: gone.earliest });
         }
-        let page: LogPage = reply.parse().ok_or(CallError::NoAnswer)?;
+        let page: LogPage = reply.parse().ok_or(CallError::Unusable)?;
         // An entry that is not base64 is passed on as it is; its checksum then fails and the offset is passed over.
         let decode = |text: String| STANDARD.decode(&text).unwrap_or_else(|_| text.into_bytes());
         let entries = page.entries.into_iter().map(decode).collect();
@@ -97,7 +97,7 @@
         if matches!(reply.status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
             return Err(CallError::Unsent);
         }
-        reply.parse::<Appended>().map(|appended| appended.first).ok_or(CallError::NoAnswer)
+        reply.parse::<Appended>().map(|appended| appended.first).ok_or(CallError::Unusable)
     }
 
     /// Reads the list of instances.
@@ -108,7 +108,7 @@
     pub async fn instances(&self) -> Result<InstanceList, CallError> {
         let request = Call::new(Method::GET, "/instances", CALL);
         let reply = call(&self.pool, &self.config.address, request).await?;
-        reply.parse().ok_or(CallError::NoAnswer)
+        reply.parse().ok_or(CallError::Unusable)
     }
 
     /// Asks for the reboot of a worker into a pool.
@@ -120,7 +120,7 @@
         let request = Call::new(Method::POST, format!("/workers/{worker}/reboot"), CALL);
         let request = request.json(&Reboot { pool: pool.to_owned() });
         let reply = call(&self.pool, &self.config.address, request).await?;
-        if reply.status.is_success() { Ok(()) } else { Err(CallError::NoAnswer) }
+        if reply.status.is_success() { Ok(()) } else { Err(CallError::Unusable) }
     }
 
     /// Longest wait of a read.
--- a/crates/entry/src/upstreams/json.rs
+++ b/crates/entry/src/upstreams/json.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -16,6 +18,8 @@
 
 /// Largest answer that is read. A page of the log with 256 KiB entries in base64 fits.
 const ANSWER_BYTES: usize = 64 << 20;
+/// Memory that is reserved at most for an answer before it arrives.
+const RESERVED_BYTES: usize = 1 << 20;
 
 /// Media type of JSON bodies.
 const JSON: &str = "application/json";
@@ -39,15 +43,48 @@
     pub limit: Duration,
 }
 
-/// Why a call has no answer.
+/// How an answer ended before it was complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Cut {
+    /// The time limit passed.
+    #[error("the time limit passed")]
+    TimedOut,
+    /// The connection broke.
+    #[error("the connection broke")]
+    Broken,
+}
+
+/// Why a call has no answer. Unless nothing was sent, the call may have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum CallError {
     /// Nothing was sent.
     #[error("no connection could be made")]
     Unsent,
-    /// What was sent may have taken effect.
-    #[error("there was no complete answer")]
-    NoAnswer,
+    /// No head of an answer arrived.
+    #[error("no answer began: {0}")]
+    NoHead(Cut),
+    /// The answer ended in its body.
+    #[error("the answer was cut off after {received} bytes: {cut}")]
+    CutOff {
+        /// How it ended.
+        cut: Cut,
+        /// Bytes of the body that had arrived.
+        received: u64,
+    },
+    /// The answer is not one to this call.
+    #[error("the answer cannot be used")]
+    Unusable,
+}
+
+impl CallError {
+    /// Bytes of the body that had arrived.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        match self {
+            Self::CutOff { received, .. } => *received,
+            Self::Unsent | Self::NoHead(_) | Self::Unusable => 0,
+        }
+    }
 }
 
 impl Call {
@@ -118,14 +155,42 @@
     let request = request.body(SendBody::whole(call.body)).map_err(|_| CallError::Unsent)?;
     let (connection, response) = match send_once(pool, address, request, deadline).await {
         Ok(sent) => sent,
-        Err(Failure::Unsent(_)) => return Err(CallError::Unsent),
-        Err(_) => return Err(CallError::NoAnswer),
+        Err(failure) => return Err(failure.into()),
     };
     let (head, body) = response.into_parts();
-    let collected = timeout_at(deadline, Limited::new(body, ANSWER_BYTES).collect()).await;
-    let Ok(Ok(body)) = collected else {
-        return Err(CallError::NoAnswer);
-    };
+    let body = read_body(body, deadline).await?;
     pool.keep(address, connection);
-    Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
+    Ok(Reply { status: head.status, headers: head.headers, body })
+}
+
+impl From<Failure> for CallError {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Unsent(_) => Self::Unsent,
+            Failure::TimedOut => Self::NoHead(Cut::TimedOut),
+            Failure::Broken => Self::NoHead(Cut::Broken),
+            Failure::Corrupt | Failure::Refused(_) => Self::Unusable,
+        }
+    }
+}
+
+async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, CallError> {
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut bytes = BytesMut::with_capacity(length.min(RESERVED_BYTES));
+    loop {
+        let cut = match timeout_at(deadline, body.frame()).await {
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else { continue };
+                if bytes.len() + data.len() > ANSWER_BYTES {
+                    return Err(CallError::Unusable);
+                }
+                bytes.extend_from_slice(&data);
+                continue;
+            }
+            Ok(Some(Err(_))) => Cut::Broken,
+            Err(_) => Cut::TimedOut,
+        };
+        return Err(CallError::CutOff { cut, received: bytes.len() as u64 });
+    }
 }
--- a/crates/entry/src/upstreams/orders.rs
+++ b/crates/entry/src/upstreams/orders.rs
@@ -74,7 +74,7 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(CallError::Unsent) => return (TaskAnswer::Unsent, 0),
-        Err(CallError::NoAnswer) => return (TaskAnswer::NoAnswer, 0),
+        Err(_) => return (TaskAnswer::NoAnswer, 0),
     };
     if let Some(refusal) = refusal(&reply) {
         return (TaskAnswer::Refused(refusal), 0);
--- a/crates/jobs/src/metrics/mod.rs
+++ b/crates/jobs/src/metrics/mod.rs
@@ -35,6 +35,8 @@
     retries: Counter<u64>,
     decisions: Counter<u64>,
     ownership: Counter<u64>,
+    failures: Counter<u64>,
+    bytes: Counter<u64>,
     answered: Histogram<f64>,
     stored: Histogram<f64>,
     late: Histogram<f64>,
@@ -60,6 +62,8 @@
             retries: counter(&meter, "retries", "Calls made again, by reason"),
             decisions: counter(&meter, "decisions", "Decisions of the owner, by kind"),
             ownership: counter(&meter, "ownership", "Claims and losses of the work, by reason"),
+            failures: counter(&meter, "store_failures", "Failed calls to the store, by topic and cause"),
+            bytes: counter(&meter, "store_bytes", "Bytes read from the store, by topic"),
             answered: histogram(&meter, "answer_milliseconds", "Time from a call to its answer"),
             stored: histogram(&meter, "store_milliseconds", "Time of an append that was answered"),
             late: histogram(&meter, "job_late_milliseconds", "Time of a job's end after its objective"),
@@ -88,6 +92,16 @@
         self.ownership.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a failed call to the store.
+    pub fn store_failed(&self, topic: &'static str, cause: &'static str) {
+        self.failures.add(1, &[KeyValue::new("topic", topic), KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts bytes read from the store, those of answers that were cut off included.
+    pub fn store_read(&self, topic: &'static str, bytes: u64) {
+        self.bytes.add(bytes, &[KeyValue::new("topic", topic)]);
+    }
+
     /// Notes the time of an append.
     pub fn stored(&self, time: Duration) {
         self.stored.record(millis(time), &[]);
