--- /dev/null
+++ b/crates/jobs/tests/platform/workers.rs
@@ -0,0 +1,142 @@
+//! Workers that run tasks, and machines that obey no orders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanfall_jobs::dispatch::command::{Look, Pace, Start, Stop};
+use rattanfall_jobs::dispatch::event::{Ended, How, Listed, Machine, MachineState, Outcome, Seen};
+use rattanfall_jobs::ids::TaskId;
+use rattanfall_jobs::ports::{MachineOutcome, Machines, Tickets, Upstreams};
+use tokio::time::{Instant, sleep};
+
+use super::TASK_MS;
+use super::store::Memory;
+
+/// Start of all workers' lifetimes.
+pub(super) const BORN: u64 = 7;
+
+pub(super) struct Worker {
+    token: u64,
+    runs: BTreeMap<TaskId, (u32, Instant)>,
+    ended: Vec<Ended>,
+    count: u64,
+}
+
+impl Upstreams for Memory {
+    async fn look(&self, look: &Look) -> Result<Seen, Outcome> {
+        let deadline = Instant::now() + Duration::from_millis(look.wait_ms);
+        loop {
+            self.live().await;
+            sleep(Duration::from_millis(2)).await;
+            let clock = self.clock();
+            let mut world = self.world.borrow_mut();
+            let worker = world.workers.get_mut(&look.target.worker).ok_or(Outcome::Unsent)?;
+            if look.token < worker.token {
+                return Err(Outcome::Fenced);
+            }
+            worker.token = look.token;
+            worker.ended.retain(|end| end.number > look.acknowledged);
+            worker.finish();
+            if worker.ended.is_empty() && Instant::now() < deadline {
+                continue;
+            }
+            let running = worker.runs.iter().map(|(task, (run, _))| Listed {
+                task: *task,
+                run: *run,
+                checkpoint: String::new(),
+                progress: 50,
+                figure: 0,
+            });
+            let (running, ended) = (running.collect(), worker.ended.clone());
+            return Ok(Seen { clock_ms: clock, born: BORN, running, ended });
+        }
+    }
+
+    async fn start(&self, start: &Start) -> Outcome {
+        self.live().await;
+        sleep(Duration::from_millis(1)).await;
+        let mut world = self.world.borrow_mut();
+        let runs = world.workers.values().filter(|worker| worker.runs.contains_key(&start.task)).count();
+        let Some(worker) = world.workers.get_mut(&start.target.worker) else { return Outcome::Unsent };
+        if start.token < worker.token {
+            return Outcome::Fenced;
+        }
+        worker.token = start.token;
+        if worker.runs.get(&start.task).is_some_and(|(run, _)| *run == start.run) {
+            return Outcome::Taken;
+        }
+        let ends = Instant::now() + Duration::from_millis(TASK_MS);
+        worker.runs.insert(start.task, (start.run, ends));
+        world.starts += 1;
+        world.started.insert(start.task.job, Instant::now());
+        world.doubled += runs;
+        Outcome::Taken
+    }
+
+    async fn stop(&self, stop: &Stop) -> Outcome {
+        self.live().await;
+        sleep(Duration::from_millis(1)).await;
+        let mut world = self.world.borrow_mut();
+        let Some(worker) = world.workers.get_mut(&stop.target.worker) else { return Outcome::Unsent };
+        if worker.runs.remove(&stop.task).is_some() {
+            worker.end(stop.task, stop.run, How::Stopped);
+        }
+        Outcome::Taken
+    }
+
+    async fn pace(&self, _: &Pace) -> Outcome {
+        Outcome::Taken
+    }
+
+    async fn advise(&self, _: &str, _: &[String]) -> Option<Tickets> {
+        None
+    }
+}
+
+impl Worker {
+    pub(super) const fn new() -> Self {
+        Self { token: 0, runs: BTreeMap::new(), ended: Vec::new(), count: 0 }
+    }
+
+    fn finish(&mut self) {
+        let now = Instant::now();
+        let over: Vec<(TaskId, u32)> = self
+            .runs
+            .iter()
+            .filter(|(_, (_, ends))| *ends <= now)
+            .map(|(task, (run, _))| (*task, *run))
+            .collect();
+        for (task, run) in over {
+            self.runs.remove(&task);
+            self.end(task, run, How::Done);
+        }
+    }
+
+    fn end(&mut self, task: TaskId, run: u32, how: How) {
+        self.count += 1;
+        self.ended.push(Ended { number: self.count, task, run, how, checkpoint: String::new() });
+    }
+}
+
+impl Machines for Memory {
+    async fn list(&self) -> Option<Vec<Machine>> {
+        let world = self.world.borrow();
+        let machines = world.workers.keys().map(|id| Machine {
+            name: format!("m-{id}"),
+            pool: "red".into(),
+            state: MachineState::Up,
+            zone: "zone-a".into(),
+            labels: Vec::new(),
+            worker: Some(id.clone()),
+        });
+        Some(machines.collect())
+    }
+
+    async fn move_to(&self, _: &str, _: &str, _: u64) -> MachineOutcome {
+        MachineOutcome::Refused
+    }
+
+    async fn maintain(&self, _: &str, _: u64, _: u64) -> MachineOutcome {
+        MachineOutcome::Refused
+    }
+}
