--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -121,6 +121,11 @@
         self.world.borrow_mut().page_bytes = bytes;
     }
 
+    /// Lets each task of a step run longer than the one before, so that each end is a change of its own.
+    pub(crate) fn stagger(&self, by: Duration) {
+        self.world.borrow_mut().stagger = by;
+    }
+
     /// Stores jobs in the intake, as an entry instance does that took them from callers.
     pub(crate) fn accept(&self, jobs: impl IntoIterator<Item = Submission>) {
         let entries = jobs.into_iter().map(|job| record::submitted(&job));
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! All nodes of a cluster share it. Time is the paused clock of the runtime, so nothing waits in earnest.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod cluster;
 mod link;
@@ -23,7 +23,7 @@
 use store::Memory;
 use workers::BORN;
 
-/// Length of all tasks, in milliseconds.
+/// Length of tasks, in milliseconds.
 const TASK_MS: u64 = 500;
 
 impl Platform for Memory {
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -69,6 +69,8 @@
     pub(super) members: BTreeMap<String, Instant>,
     pub(super) generation: u64,
     pub(super) workers: BTreeMap<String, Worker>,
+    /// Time by which each task of a step runs longer than the one before.
+    pub(super) stagger: Duration,
     pub(super) starts: usize,
     pub(super) doubled: usize,
     /// Time of the last start of a task of each job.
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -56,6 +56,7 @@
         self.live().await;
         sleep(Duration::from_millis(1)).await;
         let mut world = self.world.borrow_mut();
+        let length = Duration::from_millis(TASK_MS) + world.stagger * u32::from(start.task.index);
         let runs = world.workers.values().filter(|worker| worker.runs.contains_key(&start.task)).count();
         let Some(worker) = world.workers.get_mut(&start.target.worker) else { return Outcome::Unsent };
         if start.token < worker.token {
@@ -65,8 +66,7 @@
         if worker.runs.get(&start.task).is_some_and(|(run, _)| *run == start.run) {
             return Outcome::Taken;
         }
-        let ends = Instant::now() + Duration::from_millis(TASK_MS);
-        worker.runs.insert(start.task, (start.run, ends));
+        worker.runs.insert(start.task, (start.run, Instant::now() + length));
         world.starts += 1;
         world.started.insert(start.task.job, Instant::now());
         world.doubled += runs;
