Answer callers from short summaries, and let few instances hold the work

Of 37 instances 31 have links of 10 Mbit/s and 0.12 of a core; each read every payload and the progress of every task. After a cut or a restart with thousands of jobs in the table their reads never caught up, and the repeated reads slowed the store for all. Any page made a view fresh, also one that ended before the topic did, and so did a load that had taken seconds.

Change: - A topic of summaries, written by the owner in its epoch: the queue and state of each job, and the offset up to which the intake is part of them. Every instance follows it and answers from it. A job that no summary names is looked for in the rest of the intake; "no such job" needs a read that was asked for after the call and reached the end. - Six instances, by processor and name, hold payloads and tasks and may take the work over.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -43,6 +43,13 @@
     shown: Vec<(JobId, bool, Phase)>,
 }
 
+impl Write {
+    /// Jobs whose state may be shown once the write is stored.
+    pub fn jobs(&self) -> impl Iterator<Item = JobId> {
+        self.shown.iter().map(|(id, ..)| *id)
+    }
+}
+
 /// Counts of the owner's decisions.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counters {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod ports;
 pub mod record;
 pub mod spec;
+pub mod summary;
 pub mod table;
--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Answer, Call, Draft, Message, Refusal, Verb};
 use super::state::Stored;
@@ -15,11 +15,14 @@
 use crate::ports::Platform;
 use crate::record;
 use crate::spec::Submission;
+use crate::table::Shown;
 
 /// Time for an answer to reach the caller before it gives up.
 const ANSWER: Duration = Duration::from_millis(150);
 /// Longest time that a call is worked on.
 const LONGEST: Duration = Duration::from_secs(10);
+/// Time without a word of the owner after which jobs are counted that it may not have read. A count may be 2 s old.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Time after which a caller may come back while the store refuses, in seconds.
 const STORE_RETRY_S: u64 = 1;
 /// Time after which a caller may come back at an instance that starts or stops, in seconds.
@@ -63,12 +66,12 @@
         let wait = Duration::from_millis(call.wait_ms).min(LONGEST);
         let deadline = Instant::now() + wait.saturating_sub(ANSWER);
         if rest.is_empty() && call.verb == Verb::Read {
-            return self.count_pending(&queue);
+            return self.count_pending(&queue, deadline).await;
         }
         let Ok(id) = rest.parse::<JobId>() else { return Answer::BadId };
         match call.verb {
             Verb::Submit(draft) => self.submit(id, &queue, team, draft, deadline).await,
-            Verb::Read => self.read_state(id).await,
+            Verb::Read => self.read_state(id, deadline).await,
             Verb::Cancel => self.cancel(id, deadline).await,
         }
     }
@@ -80,10 +83,7 @@
         }
         let state = self.state.borrow();
         let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
-        let age_ms = state
-            .intake
-            .fresh
-            .map_or(u64::MAX, |at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let age_ms = u64::try_from(state.age(Instant::now()).as_millis()).unwrap_or(u64::MAX);
         log::info!(path = path, answer = answer.kind(), why:? = answer, version = version, view_age_ms = age_ms; "a call was not served");
     }
 
@@ -101,12 +101,17 @@
         Ok((queue.clone(), rest.to_owned(), holder.map(|team| team.name.clone())))
     }
 
-    fn count_pending(&self, queue: &Queue) -> Answer {
+    async fn count_pending(&self, queue: &Queue, deadline: Instant) -> Answer {
+        let stale = Answer::Refused(Refusal::Stale, STORE_RETRY_S);
+        let silent = self.state.borrow().taken.is_none_or(|at| at.elapsed() > SILENCE);
+        if silent && !matches!(timeout_at(deadline, self.know_accepted()).await, Ok(true)) {
+            return stale;
+        }
         let state = self.state.borrow();
         if !state.fresh(Instant::now(), self.options.stale) {
-            return Answer::Refused(Refusal::Stale, STORE_RETRY_S);
+            return stale;
         }
-        Answer::Pending(state.table().pending().get(queue.name.as_str()).copied().unwrap_or(0))
+        Answer::Pending(state.pending(&queue.name))
     }
 
     async fn submit(
@@ -117,7 +122,7 @@
         draft: Draft,
         deadline: Instant,
     ) -> Answer {
-        if self.state.borrow().table().get(id).is_some() {
+        if self.state.borrow().shown(id).is_some() {
             return Answer::Accepted(id);
         }
         let submission = Submission {
@@ -152,26 +157,19 @@
     }
 
     /// State of a job. One that is not known here may have been accepted elsewhere a moment ago.
-    async fn read_state(&self, id: JobId) -> Answer {
-        if let Some(job) = self.state.borrow().table().get(id) {
-            return Answer::State(job.shown());
+    async fn read_state(&self, id: JobId, deadline: Instant) -> Answer {
+        match self.find(id, deadline).await {
+            Ok(shown) => shown.map_or(Answer::NoJob, Answer::State),
+            Err(refusal) => Answer::Refused(refusal, STORE_RETRY_S),
         }
-        if !self.catch_up_intake().await {
-            return Answer::Refused(Refusal::Stale, STORE_RETRY_S);
-        }
-        let state = self.state.borrow();
-        state.table().get(id).map_or(Answer::NoJob, |job| Answer::State(job.shown()))
     }
 
     async fn cancel(&self, id: JobId, deadline: Instant) -> Answer {
-        let known = |node: &Self| node.state.borrow().table().get(id).map(|job| job.canceled);
-        if known(self).is_none() && !self.catch_up_intake().await {
-            return Answer::Refused(Refusal::Stale, STORE_RETRY_S);
-        }
-        match known(self) {
-            None => return Answer::NoJob,
-            Some(true) => return Answer::Canceled,
-            Some(false) => {}
+        match self.find(id, deadline).await {
+            Ok(None) => return Answer::NoJob,
+            Ok(Some(Shown::Canceled)) => return Answer::Canceled,
+            Ok(Some(_)) => {}
+            Err(refusal) => return Answer::Refused(refusal, STORE_RETRY_S),
         }
         let stored = self.store_intake(record::canceled(id), deadline).await;
         log::info!(job:% = id, stored:? = stored; "a job was cancelled");
@@ -182,9 +180,15 @@
         }
     }
 
-    /// Reads the intake up to its present end.
-    pub(super) async fn catch_up_intake(&self) -> bool {
-        let Some(from) = self.state.borrow().intake.next else { return false };
-        self.read_intake_from(from, Duration::ZERO).await.is_ok()
+    /// State of a job. None is the proof that no such job had been accepted when the call came in.
+    async fn find(&self, id: JobId, deadline: Instant) -> Result<Option<Shown>, Refusal> {
+        let shown = self.state.borrow().shown(id);
+        if shown.is_some() {
+            return Ok(shown);
+        }
+        if !matches!(timeout_at(deadline, self.know_accepted()).await, Ok(true)) {
+            return Err(Refusal::Stale);
+        }
+        Ok(self.state.borrow().shown(id))
     }
 }
--- a/crates/jobs/src/node/intake.rs
+++ b/crates/jobs/src/node/intake.rs
@@ -9,6 +9,7 @@
 
 use super::Node;
 use super::state::{Stored, Submission};
+use super::work::decode_intake;
 use crate::ports::{Platform, Store, StoreError, Topic};
 use crate::record::{Entry, fitting};
 
@@ -51,12 +52,16 @@
     }
 
     async fn append_intake(self: Rc<Self>, batch: Vec<Submission>) {
-        let stored = self.try_append(&batch).await;
+        let (stored, end) = self.try_append(&batch).await;
         let mut state = self.state.borrow_mut();
         state.appends -= 1;
-        for submission in batch {
-            if stored == Stored::Yes {
-                self.apply_intake(&mut state, &submission.entry);
+        let first = end.saturating_sub(batch.len() as u64);
+        for (offset, submission) in (first..).zip(batch) {
+            if stored == Stored::Yes
+                && let Some(intake) = decode_intake(&submission.entry)
+            {
+                state.summaries.take_in(offset, &intake);
+                self.apply_work(&mut state, intake);
             }
             // A caller that has gone does not need the outcome.
             let _ = submission.answer.send(stored);
@@ -64,8 +69,9 @@
         self.submissions.notify_one();
     }
 
-    /// Appends until the store answers, refuses for good, or no caller waits any more.
-    async fn try_append(&self, batch: &[Submission]) -> Stored {
+    /// Appends until the store answers, refuses for good, or no caller waits any more. Returns the end of the topic after
+    /// the records, if they are stored.
+    async fn try_append(&self, batch: &[Submission]) -> (Stored, u64) {
         let entries: Vec<Entry> = batch.iter().map(|submission| submission.entry.clone()).collect();
         let deadline = batch.iter().map(|submission| submission.deadline).min();
         let deadline = deadline.unwrap_or_else(Instant::now);
@@ -74,9 +80,9 @@
         loop {
             let begun = Instant::now();
             match self.platform.store().append(Topic::Intake, &entries, None, None).await {
-                Ok(_) => {
+                Ok(end) => {
                     self.handle.meters.stored(begun.elapsed());
-                    return Stored::Yes;
+                    return (Stored::Yes, end);
                 }
                 Err(StoreError::Unknown) => {
                     self.handle.meters.retried("intake_unanswered");
@@ -87,12 +93,12 @@
                     refusals += 1;
                     if refusals >= REFUSALS && !unknown {
                         log::warn!(error:% = error, records = entries.len(); "the store refused records of the intake");
-                        return Stored::No;
+                        return (Stored::No, 0);
                     }
                 }
             }
             if Instant::now() + RETRY >= deadline {
-                return if unknown { Stored::Unknown } else { Stored::No };
+                return (if unknown { Stored::Unknown } else { Stored::No }, 0);
             }
             sleep(RETRY).await;
         }
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -1,36 +1,37 @@
 //! Process around the decisions: one node of the fleet of entry instances.
 //!
-//! All tasks of a node run on one thread and share its state. Every node follows the store and answers callers;
-//! the one that the group deals the work to owns it as well.
+//! All tasks of a node run on one thread and share its state. Every node follows the states of jobs and answers callers.
+//! A few nodes hold the work as well, and one of these owns it.
 
 mod answers;
 pub mod calls;
 mod claim;
 mod follow;
+mod group;
 mod intake;
 pub mod options;
 mod own;
 mod state;
+mod summaries;
 pub mod view;
+mod work;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Mutex, Notify, mpsc};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::dispatch::options::Options as DispatchOptions;
-use crate::ports::{Platform, Store};
+use crate::ports::{Group, Platform};
 use calls::{Handle, Message};
 use options::Options;
 use state::State;
 
 /// Time between two checks of readiness.
 const READY_GAP: Duration = Duration::from_millis(100);
-/// Time for the group to note that this instance leaves.
-const LEAVE: Duration = Duration::from_millis(500);
 
 /// One node.
 pub struct Node<P: Platform> {
@@ -44,6 +45,12 @@
     work: Notify,
     /// Wakes the intake's writer.
     submissions: Notify,
+    /// Wakes the reader of the work once this node is to hold it.
+    holder: Notify,
+    /// Wakes the member of the group once the work is loaded.
+    loaded: Notify,
+    /// Held while the rest of the intake is read for a job that is not known.
+    tail: Mutex<()>,
     start: Instant,
 }
 
@@ -59,6 +66,9 @@
             state: RefCell::default(),
             work: Notify::new(),
             submissions: Notify::new(),
+            holder: Notify::new(),
+            loaded: Notify::new(),
+            tail: Mutex::new(()),
             start: Instant::now(),
         })
     }
@@ -73,12 +83,15 @@
     ) {
         let tasks = [
             spawn_local(Rc::clone(&self).follow_operator()),
+            spawn_local(Rc::clone(&self).follow_summaries()),
             spawn_local(Rc::clone(&self).follow_intake()),
             spawn_local(Rc::clone(&self).follow_progress()),
             spawn_local(Rc::clone(&self).follow_directory()),
             spawn_local(Rc::clone(&self).follow_machines()),
+            spawn_local(Rc::clone(&self).keep_listed()),
             spawn_local(Rc::clone(&self).keep_share()),
             spawn_local(Rc::clone(&self).own_work()),
+            spawn_local(Rc::clone(&self).publish_summaries()),
             spawn_local(Rc::clone(&self).write_intake()),
             spawn_local(Rc::clone(&self).answer_calls(calls)),
             spawn_local(Rc::clone(&self).watch_ready()),
@@ -107,9 +120,13 @@
 
     async fn watch_ready(self: Rc<Self>) {
         loop {
-            let ready = self.state.borrow().ready(Instant::now(), self.options.stale);
+            let (ready, age) = {
+                let (state, now) = (self.state.borrow(), Instant::now());
+                (state.ready(now, self.options.stale), state.age(now))
+            };
             if self.handle.set_ready(ready) != ready {
-                log::info!(ready = ready; "readiness changed");
+                let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+                log::info!(ready = ready, view_age_ms = age_ms; "readiness changed");
             }
             sleep(READY_GAP).await;
         }
@@ -117,13 +134,14 @@
 
     /// Gives up the work and finishes open calls.
     async fn hand_over(&self) {
-        self.state.borrow_mut().stopping = true;
+        {
+            let mut state = self.state.borrow_mut();
+            state.stopping = true;
+            state.holder = false;
+        }
         self.handle.set_ready(false);
         self.step_down("the process stops");
-        let leave = self.platform.store().leave(&self.options.name);
-        if !matches!(tokio::time::timeout(LEAVE, leave).await, Ok(Ok(()))) {
-            log::warn!("the group did not note that this instance leaves");
-        }
+        tokio::join!(self.leave(Group::Holders), self.leave(Group::Entries));
         // Callers keep their connections until the balancer has noticed; they are served meanwhile.
         sleep(self.options.stop).await;
     }
--- a/crates/jobs/src/node/own.rs
+++ b/crates/jobs/src/node/own.rs
@@ -64,7 +64,7 @@
     }
 
     /// Epoch of this node's ownership.
-    fn epoch(&self) -> Option<u64> {
+    pub(super) fn epoch(&self) -> Option<u64> {
         self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.epoch())
     }
 
@@ -75,7 +75,7 @@
         let mut rest = write.entries.as_slice();
         while !rest.is_empty() {
             let (part, later) = rest.split_at(fitting(rest, self.options.append_bytes));
-            if !self.store_part(epoch, write.number, part).await {
+            if !self.store_part(epoch, part).await {
                 return;
             }
             rest = later;
@@ -84,31 +84,37 @@
         sleep(WRITE_GAP).await;
     }
 
-    /// Appends a part of a write, and repeats that until the store has answered. False if this node no longer owns the
-    /// work.
-    async fn store_part(&self, epoch: u64, number: u64, entries: &[Entry]) -> bool {
+    /// Appends a part of a write. False if this node no longer owns the work.
+    async fn store_part(&self, epoch: u64, entries: &[Entry]) -> bool {
         let sequence = self.state.borrow().sequence;
+        let fence = Fence { epoch, sequence };
+        self.append_fenced(Topic::Progress, entries, fence).await && self.advance(epoch, sequence)
+    }
+
+    /// Appends records as the owner, and repeats that until the store has answered. False if this node no longer owns
+    /// the work.
+    pub(super) async fn append_fenced(&self, topic: Topic, entries: &[Entry], fence: Fence) -> bool {
         loop {
-            if self.epoch() != Some(epoch) {
+            if self.epoch() != Some(fence.epoch) {
                 return false;
             }
-            let fence = Fence { epoch, sequence };
             let begun = Instant::now();
-            match self.platform.store().append(Topic::Progress, entries, Some(fence), None).await {
+            match self.platform.store().append(topic, entries, Some(fence), None).await {
                 Ok(_) => {
                     self.handle.meters.stored(begun.elapsed());
-                    return self.advance(epoch, sequence);
-                }
-                Err(StoreError::Sequence(expected)) if expected == sequence + 1 => {
-                    return self.advance(epoch, sequence);
+                    return true;
                 }
+                Err(StoreError::Sequence(expected)) if expected == fence.sequence + 1 => return true,
                 Err(StoreError::Fenced | StoreError::Sequence(_)) => {
                     self.step_down("the store knows a newer owner");
                     return false;
                 }
                 Err(error) => {
                     self.handle.meters.retried("write_not_stored");
-                    log::warn!(error:% = error, write = number; "a write is not stored yet");
+                    log::warn!(
+                        error:% = error, topic:? = topic, sequence = fence.sequence;
+                        "a write is not stored yet"
+                    );
                     sleep(RETRY).await;
                 }
             }
@@ -129,12 +135,14 @@
         let mut state = self.state.borrow_mut();
         if let Some(dispatcher) = state.dispatcher().filter(|d| d.epoch() == epoch) {
             dispatcher.stored(now, write);
+            state.unpublished.extend(write.jobs());
         }
         self.work.notify_one();
     }
 
     /// Drops the records of jobs that ended long ago.
     async fn drop_intake(self: Rc<Self>, jobs: Vec<crate::ids::JobId>) {
+        self.state.borrow_mut().unpublished.extend(&jobs);
         let empty = |key: String| Entry { key, value: Vec::new() };
         let entries: Vec<Entry> =
             jobs.iter().flat_map(|id| [empty(format!("s{id}")), empty(canceled(*id).key)]).collect();
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -10,35 +10,50 @@
 use crate::catalog::Catalog;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::event::Wave;
+use crate::ids::JobId;
+use crate::ports::Page;
 use crate::record::Entry;
-use crate::table::Table;
+use crate::summary::Summaries;
+use crate::table::{Job, Shown, Table};
 
-/// Whether this node owns the work.
-#[derive(Debug)]
+/// What this node knows of the work besides the states of jobs.
+#[derive(Debug, Default)]
 pub(super) enum Role {
-    /// Another node owns it.
-    Follower(Box<Table>),
-    /// This node owns it.
+    /// Nothing: it answers callers.
+    #[default]
+    Reader,
+    /// All of it: it may take the work over.
+    Standby(Box<Table>),
+    /// All of it: it owns the work.
     Owner(Box<Dispatcher>),
 }
 
-impl Default for Role {
-    fn default() -> Self {
-        Self::Follower(Box::default())
-    }
-}
-
 /// How far a topic has been read.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Cursor {
     /// Offset to read next; none before the newest records were read.
     pub(super) next: Option<u64>,
-    /// Time of the last answer.
+    /// Latest time up to which all records are known to have been read.
     pub(super) fresh: Option<Instant>,
 }
 
+/// Time up to which a page proves that all records were read. None if the page ends before the topic does.
+///
+/// The answer tells what the store held when it was asked, or at the end of the wait if there was no record.
+pub(super) fn proof(asked: Instant, wait: Duration, from: u64, page: &Page) -> Option<Instant> {
+    let waited = if page.next == from { wait.min(asked.elapsed()) } else { Duration::ZERO };
+    page.complete().then(|| asked + waited)
+}
+
 impl Cursor {
-    fn age(self, now: Instant) -> Duration {
+    /// Notes that a page was read. Pages of one topic may be read twice.
+    pub(super) fn advance(&mut self, page: &Page, proof: Option<Instant>) {
+        self.next = Some(self.next.unwrap_or(0).max(page.next));
+        self.fresh = self.fresh.max(proof);
+    }
+
+    /// Time since all records were known to have been read.
+    pub(super) fn age(self, now: Instant) -> Duration {
         self.fresh.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 }
@@ -74,9 +89,20 @@
     pub(super) evacuated: BTreeSet<String>,
     pub(super) waves: BTreeMap<u64, Wave>,
     pub(super) operator: Cursor,
+    /// States of jobs, from which callers are answered.
+    pub(super) summaries: Summaries,
+    pub(super) summary: Cursor,
+    /// Offset of the intake up to which this node has read itself what the summaries did not contain yet.
+    pub(super) tail: u64,
+    /// Time at which the last read was asked for that knew of all accepted jobs.
+    pub(super) accepted: Option<Instant>,
+    /// Time at which the owner's last offset of the intake was read.
+    pub(super) taken: Option<Instant>,
+    /// True if this node is to hold the work, so that it may take it over.
+    pub(super) holder: bool,
     pub(super) intake: Cursor,
     pub(super) progress: Cursor,
-    /// Grows when the table is read anew, so that older reads are dropped.
+    /// Grows when the work is loaded anew or given up, so that older reads are dropped.
     pub(super) loads: u64,
     /// Records that wait for the store.
     pub(super) queue: Vec<Submission>,
@@ -87,38 +113,81 @@
     /// Time at which another instance's claim was read; none for a claim that was there at the load.
     pub(super) claim_seen: Option<Instant>,
     pub(super) stopping: bool,
-    /// Number of the owner's next append.
+    /// Number of the owner's next append to the progress.
     pub(super) sequence: u64,
+    /// Jobs of the owner whose summary may have changed.
+    pub(super) unpublished: BTreeSet<JobId>,
 }
 
 impl State {
-    /// Jobs.
-    pub(super) fn table(&self) -> &Table {
+    /// Work, if this node holds it.
+    pub(super) fn table(&self) -> Option<&Table> {
         match &self.role {
-            Role::Follower(table) => table,
-            Role::Owner(dispatcher) => &dispatcher.table,
+            Role::Reader => None,
+            Role::Standby(table) => Some(table),
+            Role::Owner(dispatcher) => Some(&dispatcher.table),
         }
     }
 
     pub(super) fn dispatcher(&mut self) -> Option<&mut Dispatcher> {
         match &mut self.role {
-            Role::Follower(_) => None,
+            Role::Reader | Role::Standby(_) => None,
             Role::Owner(dispatcher) => Some(dispatcher),
         }
     }
 
-    /// True if all topics were read.
-    pub(super) fn loaded(&self) -> bool {
-        self.catalog.is_some() && self.intake.next.is_some() && self.progress.next.is_some()
+    pub(super) const fn owns(&self) -> bool {
+        matches!(self.role, Role::Owner(_))
+    }
+
+    /// True if this node holds the work and may claim it.
+    pub(super) const fn holds(&self) -> bool {
+        self.catalog.is_some() && !matches!(self.role, Role::Reader)
+    }
+
+    /// True if this node holds the work and does not own it.
+    pub(super) const fn stands_by(&self) -> bool {
+        matches!(self.role, Role::Standby(_))
+    }
+
+    /// State of a job as callers see it.
+    pub(super) fn shown(&self, id: JobId) -> Option<Shown> {
+        match &self.role {
+            Role::Owner(dispatcher) => dispatcher.table.get(id).map(Job::shown),
+            Role::Reader | Role::Standby(_) => self.summaries.get(id),
+        }
+    }
+
+    /// Jobs of a queue that have not started.
+    pub(super) fn pending(&self, queue: &str) -> u64 {
+        let counts = match &self.role {
+            Role::Owner(dispatcher) => dispatcher.table.pending(),
+            Role::Reader | Role::Standby(_) => self.summaries.pending(),
+        };
+        counts.get(queue).copied().unwrap_or(0)
+    }
+
+    /// Forgets the work, so that it is loaded anew if this node is to hold it.
+    pub(super) fn drop_work(&mut self) {
+        self.loads += 1;
+        self.role = Role::Reader;
+        self.intake = Cursor::default();
+        self.progress = Cursor::default();
+        self.unpublished.clear();
+    }
+
+    /// Time since all states of jobs were known to have been read.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        self.summary.age(now)
     }
 
     /// True if calls can be answered.
     pub(super) fn ready(&self, now: Instant, stale: Duration) -> bool {
-        self.loaded() && !self.stopping && self.intake.age(now) < stale
+        self.fresh(now, stale) && !self.stopping
     }
 
     /// True if the view of jobs is fresh.
     pub(super) fn fresh(&self, now: Instant, stale: Duration) -> bool {
-        self.loaded() && self.intake.age(now) < stale
+        self.catalog.is_some() && self.age(now) < stale
     }
 }
--- a/crates/jobs/src/node/view/mod.rs
+++ b/crates/jobs/src/node/view/mod.rs
@@ -41,28 +41,26 @@
     fn view_work(&self) -> Work {
         let now = self.now();
         let state = self.state.borrow();
-        let table = state.table();
-        let mut jobs: BTreeMap<&str, u64> = BTreeMap::new();
-        for job in table.jobs() {
-            *jobs.entry(name(job.shown())).or_default() += 1;
-        }
         let owned = match &state.role {
             Role::Owner(dispatcher) => Some(dispatcher),
-            Role::Follower(_) => None,
+            Role::Reader | Role::Standby(_) => None,
         };
-        let waves = table.waves.iter().map(|(&number, wave)| Wave {
+        let waves = state.table().into_iter().flat_map(|table| &table.waves);
+        let waves = waves.map(|(&number, wave)| Wave {
             number,
             machines: owned.map_or(0, |dispatcher| dispatcher.wave_size(number)),
             begun: wave.begun.len() as u64,
         });
+        let owner = state.table().map_or(&state.summaries.owner, |table| &table.owner);
+        let jobs = state.summaries.states().into_iter().map(|(shown, count)| (name(shown), count));
         Work {
             instance: self.options.name.clone(),
             version: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
-            owner: table.owner.name.clone(),
-            epoch: table.owner.epoch,
-            age_ms: state.intake.fresh.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX)),
-            jobs: counts(jobs),
-            waiting: counts(table.pending()),
+            owner: owner.name.clone(),
+            epoch: owner.epoch,
+            age_ms: state.summary.fresh.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX)),
+            jobs: counts(jobs.collect()),
+            waiting: counts(state.summaries.pending()),
             pools: owned.map(|dispatcher| dispatcher.pools(now)).unwrap_or_default(),
             moves: owned.map(|dispatcher| dispatcher.moves()).unwrap_or_default(),
             waves: waves.collect(),
@@ -72,14 +70,22 @@
     fn view_job(&self, id: JobId) -> Option<Job> {
         let now = self.now();
         let state = self.state.borrow();
-        let job = state.table().get(id)?;
+        let Some(job) = state.table().and_then(|table| table.get(id)) else {
+            return state.summaries.view(id).map(|summary| Job {
+                id: id.to_string(),
+                queue: summary.queue.clone(),
+                state: name(state.shown(id).unwrap_or(summary.shown)).to_owned(),
+                reasons: vec![format!("ask the owner, {}, for its tasks", state.summaries.owner.name)],
+                ..Job::default()
+            });
+        };
         let reasons = match (&state.role, job.shown()) {
             (_, Shown::Completed) => vec!["all its tasks are done".to_owned()],
             (_, Shown::Canceled) => vec!["it was cancelled".to_owned()],
             (_, Shown::Failed) => vec!["a task failed as often as its queue allows".to_owned()],
             (Role::Owner(dispatcher), _) => dispatcher.explain(now, id),
-            (Role::Follower(table), _) => {
-                vec![format!("ask the owner, {}, why tasks wait", table.owner.name)]
+            (Role::Reader | Role::Standby(_), _) => {
+                vec![format!("ask the owner, {}, why tasks wait", state.summaries.owner.name)]
             }
         };
         Some(Job {
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -21,6 +21,8 @@
     Intake,
     /// Owner and progress of jobs.
     Progress,
+    /// States of jobs, in short records.
+    Summaries,
     /// What operators want.
     Operator,
     /// What workers say of themselves.
@@ -33,6 +35,15 @@
     Reports,
 }
 
+/// Group of entry instances.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Group {
+    /// All instances. Of many, the store may list a part.
+    Entries,
+    /// Instances that hold the work.
+    Holders,
+}
+
 /// Proof of ownership that an append carries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Fence {
@@ -49,10 +60,18 @@
     pub entries: Vec<(u64, Entry)>,
     /// Offset to read from next.
     pub next: u64,
-    /// Offset after the last record of the topic.
+    /// Offset after the last record of the topic, when the store answered.
     pub end: u64,
 }
 
+impl Page {
+    /// True if the page ends where the topic did when the store answered. A page of bounded size may end before.
+    #[must_use]
+    pub const fn complete(&self) -> bool {
+        self.next >= self.end
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
 pub enum StoreError {
@@ -87,21 +106,27 @@
         at: Option<u64>,
     ) -> impl Future<Output = Result<u64, StoreError>>;
 
-    /// Reads records from an offset on; waits for one at the end of the topic.
+    /// Reads records from an offset on; waits for one at the end of the topic. The answer may end before the topic does.
     fn read(&self, topic: Topic, from: u64, wait: Duration)
     -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Newest record of each key. `next` continues with what was written meanwhile.
+    /// Newest record of each key. `next` continues with what was written meanwhile. The records are no snapshot: one that
+    /// was written meanwhile may be among them or not.
     fn newest(&self, topic: Topic) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Joins the group of entry instances, or stays in it. Returns its generation, which grows with each change.
-    fn join(&self, member: &str, generation: u64) -> impl Future<Output = Result<u64, StoreError>>;
+    /// Joins a group of entry instances, or stays in it. Returns its generation, which grows with each change.
+    fn join(
+        &self,
+        group: Group,
+        member: &str,
+        generation: u64,
+    ) -> impl Future<Output = Result<u64, StoreError>>;
 
-    /// Members of the group. One that is not among them has ended or does not reach the store.
-    fn members(&self) -> impl Future<Output = Result<BTreeSet<String>, StoreError>>;
+    /// Members of a group. One that is not among them has ended or does not reach the store.
+    fn members(&self, group: Group) -> impl Future<Output = Result<BTreeSet<String>, StoreError>>;
 
-    /// Leaves the group.
-    fn leave(&self, member: &str) -> impl Future<Output = Result<(), StoreError>>;
+    /// Leaves a group.
+    fn leave(&self, group: Group, member: &str) -> impl Future<Output = Result<(), StoreError>>;
 }
 
 /// Workers.
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -1,8 +1,9 @@
 //! Records of the store.
 //!
 //! Two keyed topics hold all that must last. `Intake` has what callers asked for and is written by every entry
-//! instance. `Progress` has what became of it and is written by the owner alone, under its epoch. Each record is
-//! the whole state of its key, so a reader may miss records as long as it reads the newest one.
+//! instance. `Progress` has what became of it and is written by the owner alone, under its epoch. `Summaries` repeats
+//! the states of jobs in short records for the instances that only answer callers. Each record is the whole state of
+//! its key, so a reader may miss records as long as it reads the newest one.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -10,17 +11,21 @@
 use crate::dispatch::WaveProgress;
 use crate::ids::JobId;
 use crate::spec::Submission;
+use crate::summary::{Summary, SummaryChange};
 use crate::table::Progress;
 
 /// Version of the encoding; the first byte of each record.
 const VERSION: u8 = 1;
-/// Key of the owner record in `Progress`.
+/// Key of the owner record in `Progress` and `Summaries`.
 const OWNER_KEY: &str = "owner";
 /// Prefix of the keys of machines' last orders in `Progress`.
 const ORDER_KEY: &str = "order/";
 /// Prefix of the keys of waves in `Progress`.
 const WAVE_KEY: &str = "wave/";
 
+/// Key in `Summaries` of the offset up to which the owner has read the intake.
+const TAKEN_KEY: &str = "taken";
+
 /// Record that cannot be read.
 #[derive(Debug, Error)]
 pub enum BadRecord {
@@ -169,6 +174,42 @@
     Entry { key: format!("{ORDER_KEY}{machine}"), value: encode(order) }
 }
 
+/// Record of a job's state.
+#[must_use]
+pub fn summary(id: JobId, summary: &Summary) -> Entry {
+    Entry { key: id.to_string(), value: encode(summary) }
+}
+
+/// Record that drops a job's state.
+#[must_use]
+pub fn dropped(id: JobId) -> Entry {
+    Entry { key: id.to_string(), value: Vec::new() }
+}
+
+/// Record of the offset of the intake up to which all records are part of the summaries.
+#[must_use]
+pub fn taken(offset: u64) -> Entry {
+    Entry { key: TAKEN_KEY.into(), value: encode(&offset) }
+}
+
+/// Decodes a record of the summaries.
+///
+/// # Errors
+///
+/// Fails if the record was not written by this release.
+pub fn read_summary(entry: &Entry) -> Result<SummaryChange, BadRecord> {
+    match entry.key.as_str() {
+        OWNER_KEY => return Ok(SummaryChange::Owner(decode(&entry.value)?)),
+        TAKEN_KEY => return Ok(SummaryChange::Taken(decode(&entry.value)?)),
+        _ => {}
+    }
+    let id: JobId = entry.key.parse().map_err(|_| BadRecord::Key)?;
+    if entry.value.is_empty() {
+        return Ok(SummaryChange::Dropped(id));
+    }
+    Ok(SummaryChange::Job(id, decode(&entry.value)?))
+}
+
 /// Decodes a record of the intake.
 ///
 /// # Errors
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -8,6 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::dispatch::WaveProgress;
 use crate::ids::JobId;
 use crate::record::{Change, Intake, LastOrder, Owner};
@@ -15,8 +17,8 @@
 
 pub use progress::{Occurrence, Phase, Place, Progress, Task, TaskState, each_task};
 
-/// State of a job as callers see it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// State of a job as callers see it, in the order of its life. Stored records name a state by its place in this list.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Shown {
     /// No task has started.
     Queued,
@@ -30,6 +32,20 @@
     Canceled,
 }
 
+impl Shown {
+    /// True if the state is final.
+    #[must_use]
+    pub const fn ended(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Canceled)
+    }
+
+    /// Later one of two states that were read in any order. The final state that was read first stays.
+    #[must_use]
+    pub fn later(self, other: Self) -> Self {
+        if self.ended() { self } else { self.max(other) }
+    }
+}
+
 /// One job.
 #[derive(Clone, Debug)]
 pub struct Job {
--- /dev/null
+++ b/crates/jobs/tests/ownership.rs
@@ -0,0 +1,80 @@
+//! Holders that are lost together, and owners that stop.
+
+mod platform;
+
+use std::time::Duration;
+
+use platform::{Cluster, read, submit};
+use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::node::calls::{Answer, Call};
+use rattanfall_jobs::ports::Topic;
+use rattanfall_jobs::table::Shown;
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// Instances that hold the work.
+const HOLDERS: usize = 6;
+
+/// Guards against holders whose loss together leaves the work without an owner until somebody acts.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_all_holders_is_followed_by_a_claim_within_4_s(#[values(8, 12)] nodes: usize) {
+    Cluster::run(nodes, move |cluster| async move {
+        cluster.settle(3_000).await;
+        let mut ranked: Vec<usize> = (0..nodes).collect();
+        ranked.sort_by_key(|node| format!("node{node}"));
+        let holders = ranked.split_off(nodes - HOLDERS);
+        let before = cluster.claims().len();
+        holders.iter().for_each(|node| cluster.kill(*node));
+        let begun = Instant::now();
+        while cluster.claims().len() == before && begun.elapsed() < Duration::from_secs(30) {
+            cluster.settle(50).await;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(4), "claimed after {:?}", begun.elapsed());
+        assert_eq!(cluster.call(ranked[0], submit(1, 2)).await, Answer::Accepted(JobId(1)));
+        cluster.settle(3_000).await;
+        assert_eq!(cluster.call(ranked[0], read(1)).await, Answer::State(Shown::Completed));
+    })
+    .await;
+}
+
+/// Jobs that no owner had read yet were not counted as waiting.
+#[tokio::test(start_paused = true)]
+async fn jobs_accepted_while_no_owner_reads_the_intake_count_as_pending() {
+    Cluster::run(3, |cluster| async move {
+        let owner = cluster.owner();
+        let (taker, asked) = ((owner + 1) % 3, (owner + 2) % 3);
+        for node in 0..3 {
+            cluster.blind(node, &[Topic::Progress]);
+        }
+        cluster.kill(owner);
+        cluster.settle(2_000).await;
+        for id in 1..=10 {
+            assert_eq!(cluster.call(taker, submit(id, 2)).await, Answer::Accepted(JobId(id)));
+        }
+        cluster.settle(6_000).await;
+        let count = Call { path: "/quotes/".into(), ..read(0) };
+        assert_eq!(cluster.call(asked, count).await, Answer::Pending(10));
+    })
+    .await;
+}
+
+/// A state that an owner had shown was not shown any more after it stopped.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_state_that_was_shown_does_not_go_back_when_the_owner_stops(
+    #[values(0, 4, 8, 12, 16, 20, 24, 28, 32, 36)] later: u64,
+) {
+    Cluster::run(2, move |cluster| async move {
+        let owner = cluster.owner();
+        assert_eq!(cluster.call(owner, submit(1, 1)).await, Answer::Accepted(JobId(1)));
+        while cluster.call(owner, read(1)).await != Answer::State(Shown::Completed) {
+            cluster.settle(1).await;
+        }
+        cluster.settle(later).await;
+        cluster.stop(owner);
+        cluster.settle(2).await;
+        assert_eq!(cluster.call(owner, read(1)).await, Answer::State(Shown::Completed));
+    })
+    .await;
+}
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -77,7 +77,7 @@
         let dead = Rc::new(Cell::new(false));
         let (world, grown) = (Rc::clone(&self.world), Rc::clone(&self.grown));
         let (begun, used) = (self.begun, Rc::clone(&link));
-        let platform = Memory { world, grown, begun, dead: Rc::clone(&dead), link: used };
+        let platform = Memory { name: name.clone(), world, grown, begun, dead: Rc::clone(&dead), link: used };
         let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
         let options = Options { append_bytes: APPEND_BYTES, ..Options::new(name.clone()) };
         let node = Node::new(platform, options, handle.clone());
@@ -146,6 +146,37 @@
         claim.value.windows(name.len()).any(|part| part == name.as_bytes())
     }
 
+    /// Leaves a node's reads of some topics without an answer.
+    pub(crate) fn blind(&self, node: usize, topics: &[Topic]) {
+        let name = self.members.borrow()[node].name.clone();
+        self.world.borrow_mut().blind.insert(name, topics.iter().copied().collect());
+    }
+
+    /// Adds a queue and a key to the configuration.
+    pub(crate) fn configure(&self) {
+        let entry = Entry { key: "config".into(), value: vec![2] };
+        self.world.borrow_mut().logs.entry(Topic::Operator).or_default().entries.push(entry);
+        self.grown.notify_waiters();
+    }
+
+    /// Names in the records of owners, oldest first.
+    pub(crate) fn claims(&self) -> Vec<String> {
+        let world = self.world.borrow();
+        let claims = world.logs[&Topic::Progress].entries.iter().filter(|entry| entry.key == "owner");
+        let mut names: Vec<String> =
+            claims.map(|e| String::from_utf8_lossy(&e.value[1..]).into_owned()).collect();
+        names.dedup();
+        names
+    }
+
+    /// Drops the history of one topic, with a record that nobody has read yet.
+    pub(crate) fn compact_one(&self, topic: Topic) {
+        let mut world = self.world.borrow_mut();
+        let log = world.logs.entry(topic).or_default();
+        log.entries.push(Entry { key: "of another writer".into(), value: vec![9] });
+        log.first = log.entries.len() as u64;
+    }
+
     /// Lets time pass.
     pub(crate) async fn settle(&self, ms: u64) {
         sleep(Duration::from_millis(ms)).await;
@@ -220,11 +251,12 @@
         }
     }
 
-    /// Forgets all members of the group.
+    /// Forgets all members of the groups.
     pub(crate) fn forget_members(&self) {
-        let mut world = self.world.borrow_mut();
-        world.members.clear();
-        world.generation += 1;
+        for members in self.world.borrow_mut().groups.values_mut() {
+            members.seen.clear();
+            members.generation += 1;
+        }
     }
 }
 
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -43,8 +43,17 @@
         self
     }
 
-    fn instruction(&self, _: &Entry) -> Result<Option<Instruction>, Foreign> {
-        Ok(Some(Instruction::Configure(Box::new(catalog()))))
+    fn instruction(&self, entry: &Entry) -> Result<Option<Instruction>, Foreign> {
+        let mut catalog = catalog();
+        if entry.value == [2] {
+            catalog.version = 2;
+            let mut added = catalog.queues[0].clone();
+            added.name = "added".into();
+            added.prefix = "/added/".into();
+            catalog.queues.push(added);
+            catalog.teams[0].keys.push("key-new".into());
+        }
+        Ok(Some(Instruction::Configure(Box::new(catalog))))
     }
 
     fn sighting(&self, entry: &Entry) -> Result<Sighting, Foreign> {
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rattanfall_jobs::ids::JobId;
-use rattanfall_jobs::ports::{Fence, Page, Store, StoreError, Topic};
+use rattanfall_jobs::ports::{Fence, Group, Page, Store, StoreError, Topic};
 use rattanfall_jobs::record::Entry;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -32,8 +32,6 @@
 const NEWEST_RECORD_BYTES: usize = 40;
 /// Most bytes of an append.
 pub(super) const APPEND_BYTES: usize = 2_000;
-/// Time after which a member that does not join is forgotten.
-const TTL: Duration = Duration::from_millis(1_100);
 
 /// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -62,12 +60,13 @@
 /// What all nodes share.
 #[derive(Default)]
 pub(super) struct World {
+    /// Topics that a node cannot read, by the node's name.
+    pub(super) blind: BTreeMap<String, BTreeSet<Topic>>,
     pub(super) fault: Fault,
     pub(super) logs: BTreeMap<Topic, Log>,
     /// Most bytes of the records of a page.
     pub(super) page_bytes: usize,
-    pub(super) members: BTreeMap<String, Instant>,
-    pub(super) generation: u64,
+    pub(super) groups: BTreeMap<Group, Members>,
     pub(super) workers: BTreeMap<String, Worker>,
     /// Time by which each task of a step runs longer than the one before.
     pub(super) stagger: Duration,
@@ -77,8 +76,28 @@
     pub(super) started: BTreeMap<JobId, Instant>,
 }
 
+impl World {
+    /// Members of a group, without those that have been silent for too long.
+    fn living(&mut self, group: Group) -> &mut Members {
+        let now = Instant::now();
+        let members = self.groups.entry(group).or_default();
+        let count = members.seen.len();
+        members.seen.retain(|_, at| *at + time_to_live(group) > now);
+        members.generation += u64::from(members.seen.len() < count);
+        members
+    }
+}
+
+/// Members of a group, with the times of their last calls.
+#[derive(Default)]
+pub(super) struct Members {
+    pub(super) seen: BTreeMap<String, Instant>,
+    pub(super) generation: u64,
+}
+
 /// Platform of one node.
 pub(super) struct Memory {
+    pub(super) name: String,
     pub(super) world: Rc<RefCell<World>>,
     pub(super) grown: Rc<Notify>,
     pub(super) begun: Instant,
@@ -252,6 +271,11 @@
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
         let call = async {
             self.reach(false).await?;
+            let blind =
+                self.world.borrow().blind.get(&self.name).is_some_and(|topics| topics.contains(&topic));
+            if blind {
+                std::future::pending::<()>().await;
+            }
             let page = self.page(topic, from, wait).await?;
             let bytes: usize = page.entries.iter().map(|(_, entry)| entry.size() + RECORD_BYTES).sum();
             self.link.answer(HEAD_BYTES + bytes).await;
@@ -279,29 +303,35 @@
         Ok(page)
     }
 
-    async fn join(&self, member: &str, _: u64) -> Result<u64, StoreError> {
+    async fn join(&self, group: Group, member: &str, _: u64) -> Result<u64, StoreError> {
         let join = |world: &mut World| {
-            let now = Instant::now();
-            let count = world.members.len();
-            world.members.retain(|_, at| *at + TTL > now);
-            let fresh = world.members.insert(member.to_owned(), now).is_none();
-            if fresh || world.members.len() < count {
-                world.generation += 1;
+            let members = world.living(group);
+            if members.seen.insert(member.to_owned(), Instant::now()).is_none() {
+                members.generation += 1;
             }
-            world.generation
+            members.generation
         };
         self.group(join).await
     }
 
-    async fn members(&self) -> Result<BTreeSet<String>, StoreError> {
-        self.group(|world| world.members.keys().cloned().collect()).await
+    async fn members(&self, group: Group) -> Result<BTreeSet<String>, StoreError> {
+        self.group(|world| world.living(group).seen.keys().cloned().collect()).await
     }
 
-    async fn leave(&self, member: &str) -> Result<(), StoreError> {
+    async fn leave(&self, group: Group, member: &str) -> Result<(), StoreError> {
         let leave = |world: &mut World| {
-            world.members.remove(member);
-            world.generation += 1;
+            let members = world.groups.entry(group).or_default();
+            members.seen.remove(member);
+            members.generation += 1;
         };
         self.group(leave).await
     }
 }
+
+/// Time after which a silent member of a group is forgotten.
+const fn time_to_live(group: Group) -> Duration {
+    match group {
+        Group::Entries => Duration::from_millis(1_600),
+        Group::Holders => Duration::from_millis(1_100),
+    }
+}
--- a/crates/jobs/tests/views.rs
+++ b/crates/jobs/tests/views.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::{Cluster, call, read, submission};
+use platform::{Cluster, call, read, submission, submit};
 use rattanfall_jobs::node::calls::{Answer, Call, Verb};
 use rattanfall_jobs::node::options::Options;
 use rattanfall_jobs::node::view::{Query, View};
+use rattanfall_jobs::ports::Topic;
 use rattanfall_jobs::spec::Submission;
 use rstest::rstest;
 use tokio::task::spawn_local;
@@ -272,3 +273,37 @@
     })
     .await;
 }
+
+/// A load of the states forgot what the node had read of the intake, but not that it had read it.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_was_known_is_known_after_the_states_are_loaded_again() {
+    Cluster::run(3, |cluster| async move {
+        let owner = cluster.owner();
+        let (taker, asked) = ((owner + 1) % 3, (owner + 2) % 3);
+        cluster.blind(owner, &[Topic::Intake]);
+        cluster.settle(2_000).await;
+        assert!(matches!(cluster.call(taker, submit(1, 2)).await, Answer::Accepted(_)));
+        let before = cluster.call(asked, read(1)).await;
+        cluster.compact_one(Topic::Summaries);
+        cluster.settle(1_500).await;
+        assert_eq!(cluster.call(asked, read(1)).await, before);
+    })
+    .await;
+}
+
+/// Reads of unknown jobs waited for each other, one call to the store for each.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn reads_of_unknown_jobs_at_once_are_answered_in_time(#[values(10, 40)] reads: u64) {
+    Cluster::run(2, move |cluster| async move {
+        let other = 1 - cluster.owner();
+        cluster.link(other).set_delay(Duration::from_millis(236));
+        cluster.settle(1_000).await;
+        let begun = Instant::now();
+        let calls = (0..reads).map(|id| cluster.call(other, read(1_000 + id)));
+        let answers = futures::future::join_all(calls).await;
+        assert!(answers.iter().all(|answer| *answer == Answer::NoJob), "{answers:?}");
+        assert!(begun.elapsed() < Duration::from_secs(1), "answered after {:?}", begun.elapsed());
+    })
+    .await;
+}
