Deny no queue and no key by an old configuration

Cause: readiness and freshness looked at the view of jobs alone; `admit` decided from the configuration without any age.

Change: the view of the configuration has an age as that of jobs has, from the time at which a read was asked for that reached the end. Above 1.7 s the instance is not ready, refuses instead of answering 404 or 401, and accepts nothing. An instance that has lost the store as a whole still answers for the queues and jobs that it knows. Reads of operators' records wait 0.9 s instead of 1.5 s, so that a quiet topic does not look lost.

Test: a_node_with_an_old_configuration_denies_no_queue_and_no_key; it failed before (the node stayed ready and answered NoQueue and Unauthorized 5 s after the change).

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Answer, Call, Draft, Message, Refusal, Verb};
-use super::state::Stored;
+use super::state::{STALE_CONFIG, Stored};
 use super::{Node, unix_ms};
 use crate::catalog::Queue;
 use crate::ids::JobId;
@@ -93,10 +93,18 @@
         let Some(catalog) = &state.catalog else {
             return Err(Answer::Refused(Refusal::Unconfigured, START_RETRY_S));
         };
-        let (queue, rest) = catalog.route(&call.host, &call.path).ok_or(Answer::NoQueue)?;
+        let now = Instant::now();
+        let old = state.operator_age(now) >= STALE_CONFIG;
+        let stale = Answer::Refused(Refusal::Stale, STORE_RETRY_S);
+        // An instance that reaches nothing answers with what it knows; one that misses only the configuration does not.
+        if old && state.age(now) < self.options.stale {
+            return Err(stale);
+        }
+        let unless_old = |answer| if old { stale } else { answer };
+        let (queue, rest) = catalog.route(&call.host, &call.path).ok_or(unless_old(Answer::NoQueue))?;
         let holder = call.key.as_deref().and_then(|key| catalog.holder(key));
         if holder.is_none() && !queue.open {
-            return Err(Answer::Unauthorized);
+            return Err(unless_old(Answer::Unauthorized));
         }
         Ok((queue.clone(), rest.to_owned(), holder.map(|team| team.name.clone())))
     }
--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -19,7 +19,7 @@
 /// Time for which a read waits for a record. A store that does not answer is noticed after this time.
 pub(super) const WAIT: Duration = Duration::from_millis(700);
 /// Time for which a read of the operators' records waits. Below the time in which a change is to be in force.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
+const OPERATOR_WAIT: Duration = Duration::from_millis(900);
 /// Time between two tries after a failure.
 pub(super) const RETRY: Duration = Duration::from_millis(150);
 /// Time between two checks whether the list of machines is needed.
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -16,6 +16,10 @@
 use crate::summary::Summaries;
 use crate::table::{Job, Shown, Table};
 
+/// Age of the view of the configuration above which calls are refused. Above the wait of a read, below the time in which
+/// a change is to be in force.
+pub(super) const STALE_CONFIG: Duration = Duration::from_millis(1_700);
+
 /// What this node knows of the work besides the states of jobs.
 #[derive(Debug, Default)]
 pub(super) enum Role {
@@ -181,13 +185,18 @@
         self.summary.age(now)
     }
 
+    /// Time since the operators' records were known to have been read.
+    pub(super) fn operator_age(&self, now: Instant) -> Duration {
+        self.operator.age(now)
+    }
+
     /// True if calls can be answered.
     pub(super) fn ready(&self, now: Instant, stale: Duration) -> bool {
         self.fresh(now, stale) && !self.stopping
     }
 
-    /// True if the view of jobs is fresh.
+    /// True if the views of jobs and of the configuration are fresh.
     pub(super) fn fresh(&self, now: Instant, stale: Duration) -> bool {
-        self.catalog.is_some() && self.age(now) < stale
+        self.catalog.is_some() && self.age(now) < stale && self.operator_age(now) < STALE_CONFIG
     }
 }
--- a/crates/jobs/tests/views.rs
+++ b/crates/jobs/tests/views.rs
@@ -274,6 +274,25 @@
     .await;
 }
 
+/// A node that no longer read the configuration answered that a new queue and a new key did not exist.
+#[tokio::test(start_paused = true)]
+async fn a_node_with_an_old_configuration_denies_no_queue_and_no_key() {
+    Cluster::run(2, |cluster| async move {
+        cluster.blind(0, &[Topic::Operator]);
+        cluster.settle(3_000).await;
+        cluster.configure();
+        cluster.settle(5_000).await;
+        assert!(!cluster.ready(0));
+        let queue = Call { path: format!("/added/{:016x}", 1), ..submit(1, 1) };
+        let key = Call { key: Some("key-new".into()), ..submit(2, 1) };
+        for call in [queue, key] {
+            assert!(matches!(cluster.call(0, call.clone()).await, Answer::Refused(..)));
+            assert!(matches!(cluster.call(1, call).await, Answer::Accepted(_)));
+        }
+    })
+    .await;
+}
+
 /// A load of the states forgot what the node had read of the intake, but not that it had read it.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_was_known_is_known_after_the_states_are_loaded_again() {
