Start nothing without a view of the intake, and give the work up if it can't be read

Cause: an owner counted as healthy by its calls to the group and its writes. Its reads of the intake could fail or lag for any time.

Change: an owner whose view of the intake is older than 2 s holds its starts back; cancellations are to take effect within 3 s at least. If it reaches the group and can't read the intake for 3 s more, it gives the work up and loads it anew; as long as that fails it is no holder and another follows. While the store as a whole is away, it keeps the work as before.

--- a/crates/jobs/src/node/group.rs
+++ b/crates/jobs/src/node/group.rs
@@ -146,6 +146,7 @@
                 sleep(self.options.join_gap).await;
                 continue;
             };
+            self.state.borrow_mut().joined = Some(Instant::now());
             let changed = joined != generation;
             generation = joined;
             if let Some(dispatcher) = self.state.borrow_mut().dispatcher() {
--- a/crates/jobs/src/node/own.rs
+++ b/crates/jobs/src/node/own.rs
@@ -8,6 +8,7 @@
 
 use super::{Node, unix_ms};
 use crate::dispatch::command::Command;
+use crate::dispatch::event::Outcome;
 use crate::dispatch::{Counters, Dispatcher, Write};
 use crate::ports::{Fence, Machines, Platform, Store, StoreError, Topic, Upstreams};
 use crate::record::{Entry, canceled, fitting};
@@ -18,6 +19,13 @@
 const PACE: Duration = Duration::from_millis(5);
 /// Least time between two writes, so that changes are stored together.
 const WRITE_GAP: Duration = Duration::from_millis(12);
+/// Age of the owner's view of the intake above which it starts nothing, because the job may have been cancelled. Below the
+/// time in which a cancellation is to take effect.
+const BEHIND: Duration = Duration::from_secs(2);
+/// Time for which an owner that reaches the group and can't read the intake keeps the work.
+const BLIND: Duration = Duration::from_secs(3);
+/// Time since the last answer of the group up to which the owner is in touch with it.
+const IN_TOUCH: Duration = Duration::from_secs(1);
 /// Time between two tries to store a write.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -26,6 +34,7 @@
     pub(super) async fn own_work(self: Rc<Self>) {
         let mut writing: Option<tokio::task::JoinHandle<()>> = None;
         let mut counted = (0, Counters::default());
+        let mut blind = None;
         loop {
             // A missed notification is made up for by the next tick.
             let _ = timeout(TICK, self.work.notified()).await;
@@ -50,6 +59,10 @@
                 self.step_down("a worker or the store knows a newer owner");
                 continue;
             }
+            if self.is_blind(&mut blind) {
+                self.step_down("the intake cannot be read");
+                continue;
+            }
             if let Some(write) = write {
                 writing = Some(spawn_local(Rc::clone(&self).store_write(write)));
             }
@@ -63,6 +76,17 @@
         }
     }
 
+    /// True if this node has been unable to read the intake for some time, although it reaches the group.
+    fn is_blind(&self, since: &mut Option<Instant>) -> bool {
+        let state = self.state.borrow();
+        let in_touch = state.joined.is_some_and(|at| at.elapsed() < IN_TOUCH);
+        if !in_touch || state.intake.age(Instant::now()) <= BEHIND {
+            *since = None;
+            return false;
+        }
+        since.get_or_insert_with(Instant::now).elapsed() > BLIND
+    }
+
     /// Epoch of this node's ownership.
     pub(super) fn epoch(&self) -> Option<u64> {
         self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.epoch())
@@ -176,7 +200,8 @@
                 self.tell(epoch, |d, now| d.looked(now, &look.target.worker, answer));
             }
             Command::Start(start) => {
-                let outcome = workers.start(&start).await;
+                let behind = self.state.borrow().intake.age(Instant::now()) > BEHIND;
+                let outcome = if behind { Outcome::Unsent } else { workers.start(&start).await };
                 self.tell(epoch, |d, now| {
                     d.started(now, &start.target.worker, start.task, start.run, outcome);
                 });
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -116,6 +116,8 @@
     pub(super) open_calls: usize,
     /// Time at which another instance's claim was read; none for a claim that was there at the load.
     pub(super) claim_seen: Option<Instant>,
+    /// Time of the last answer of the group of holders.
+    pub(super) joined: Option<Instant>,
     pub(super) stopping: bool,
     /// Number of the owner's next append to the progress.
     pub(super) sequence: u64,
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -1,13 +1,14 @@
-//! Holders that are lost together, and owners that stop.
+//! Owners that cannot do their work any more, and holders that are lost together.
 
 mod platform;
 
 use std::time::Duration;
 
-use platform::{Cluster, read, submit};
+use platform::{Cluster, call, read, submit};
 use rattanfall_jobs::ids::JobId;
-use rattanfall_jobs::node::calls::{Answer, Call};
+use rattanfall_jobs::node::calls::{Answer, Call, Draft, Verb};
 use rattanfall_jobs::ports::Topic;
+use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::Shown;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -15,6 +16,54 @@
 /// Instances that hold the work.
 const HOLDERS: usize = 6;
 
+/// Submission of a job of steps that follow each other.
+fn chain(id: u64, steps: u16) -> Call {
+    let need = Resources { cpu: 1_000, memory: 100, accelerators: 0 };
+    let step = |n: u16| Step {
+        count: 1,
+        need,
+        estimate_ms: 500,
+        after: n.checked_sub(1).into_iter().collect(),
+        ..Step::default()
+    };
+    let steps = (0..steps).map(step).collect();
+    call(id, Verb::Submit(Draft { payload: String::new(), steps, schedule: None }))
+}
+
+/// An owner that could no longer read the intake kept the work, and accepted jobs never started.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_cannot_read_the_intake_gives_the_work_up() {
+    Cluster::run(3, |cluster| async move {
+        let owner = cluster.owner();
+        let other = (owner + 1) % 3;
+        cluster.blind(owner, &[Topic::Intake]);
+        cluster.settle(2_000).await;
+        assert_eq!(cluster.call(other, submit(1, 2)).await, Answer::Accepted(JobId(1)));
+        cluster.settle(20_000).await;
+        assert_eq!(cluster.call(other, read(1)).await, Answer::State(Shown::Completed));
+    })
+    .await;
+}
+
+/// An owner that could no longer read the intake went on starting the tasks of a cancelled job.
+#[tokio::test(start_paused = true)]
+async fn nothing_of_a_cancelled_job_starts_at_an_owner_that_cannot_read_the_intake() {
+    Cluster::run(3, |cluster| async move {
+        let owner = cluster.owner();
+        let other = (owner + 1) % 3;
+        assert_eq!(cluster.call(other, chain(1, 24)).await, Answer::Accepted(JobId(1)));
+        cluster.settle(700).await;
+        cluster.blind(owner, &[Topic::Intake]);
+        cluster.settle(1_000).await;
+        assert_eq!(cluster.call(other, call(1, Verb::Cancel)).await, Answer::Canceled);
+        cluster.settle(4_000).await;
+        let starts = cluster.starts();
+        cluster.settle(4_000).await;
+        assert_eq!(cluster.starts(), starts);
+    })
+    .await;
+}
+
 /// Guards against holders whose loss together leaves the work without an owner until somebody acts.
 #[rstest]
 #[tokio::test(start_paused = true)]
