--- a/crates/entry/src/upstreams/json.rs
+++ b/crates/entry/src/upstreams/json.rs
@@ -39,8 +39,20 @@
     pub media: &'static str,
     /// Further headers.
     pub headers: Vec<(&'static str, String)>,
-    /// Time limit.
+    /// Time limit, to the end of the answer unless `progress` bounds its body.
     pub limit: Duration,
+    /// Time limits of the answer's body.
+    pub progress: Option<Progress>,
+}
+
+/// Time limits of a body whose size the caller doesn't know. A slow link takes long for it and is no failure; a
+/// connection on which nothing arrives is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Time without any byte after which the call fails.
+    pub stall: Duration,
+    /// Time for the whole body.
+    pub whole: Duration,
 }
 
 /// How an answer ended before it was complete.
@@ -91,7 +103,22 @@
     /// Call without a body.
     #[must_use]
     pub fn new(method: Method, path: impl Into<String>, limit: Duration) -> Self {
-        Self { method, path: path.into(), body: Bytes::new(), media: JSON, headers: Vec::new(), limit }
+        Self {
+            method,
+            path: path.into(),
+            body: Bytes::new(),
+            media: JSON,
+            headers: Vec::new(),
+            limit,
+            progress: None,
+        }
+    }
+
+    /// Ends the time limit with the head of the answer, and bounds its body by its progress.
+    #[must_use]
+    pub const fn progress(mut self, progress: Progress) -> Self {
+        self.progress = Some(progress);
+        self
     }
 
     /// Adds a body of raw bytes.
@@ -144,6 +171,7 @@
 /// Fails if no complete answer arrives in time.
 pub async fn call(pool: &Arc<Pool>, address: &str, call: Call) -> Result<Reply, CallError> {
     let deadline = Instant::now() + call.limit;
+    let progress = call.progress;
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -158,7 +186,11 @@
         Err(failure) => return Err(failure.into()),
     };
     let (head, body) = response.into_parts();
-    let body = read_body(body, deadline).await?;
+    let limits = match progress {
+        Some(Progress { stall, whole }) => (Some(stall), Instant::now() + whole),
+        None => (None, deadline),
+    };
+    let body = read_body(body, limits.0, limits.1).await?;
     pool.keep(address, connection);
     Ok(Reply { status: head.status, headers: head.headers, body })
 }
@@ -174,11 +206,16 @@
     }
 }
 
-async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, CallError> {
+async fn read_body(
+    mut body: Incoming,
+    stall: Option<Duration>,
+    deadline: Instant,
+) -> Result<Bytes, CallError> {
     let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut bytes = BytesMut::with_capacity(length.min(RESERVED_BYTES));
     loop {
-        let cut = match timeout_at(deadline, body.frame()).await {
+        let until = stall.map_or(deadline, |stall| deadline.min(Instant::now() + stall));
+        let cut = match timeout_at(until, body.frame()).await {
             Ok(None) => return Ok(bytes.freeze()),
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
--- a/crates/entry/src/upstreams/mod.rs
+++ b/crates/entry/src/upstreams/mod.rs
@@ -9,7 +9,7 @@
 
 pub use body::{Feed, SendBody, feed};
 pub use exchange::{Answer, Failure, exchange};
-pub use json::{Call, CallError, Cut, Reply, call};
+pub use json::{Call, CallError, Cut, Progress, Reply, call};
 pub use orders::{probe, run_order};
 pub use pool::{Connection, Pool};
 
