Bound the starts that wait for an answer

After a takeover the owner placed every task that fitted in one pass.

A pass now leaves at most 256 starts without an answer: a quarter of a second at 1,000 starts a second. Jobs are served in the order of turns as answers come. Starts at workers that do not answer, and those that are repeated, do not count, so that a cut does not hold up the rest. A gang is placed whole.

A job that has had nothing placed for 1.5 s though a task could start goes first with one task or gang, the longest first, as long as at most 60% of its pool is used. Otherwise the order of turns is as before.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -84,6 +84,8 @@
     objective: u64,
     /// Time of the end, once it has ended.
     ended: Option<u64>,
+    /// Time from which nothing of it was placed though a task could start.
+    stands: Option<u64>,
 }
 
 /// Owner's state machine. Times are milliseconds of the process's steady clock.
--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -11,7 +11,7 @@
 use crate::catalog::Policy;
 use crate::ids::{JobId, TaskId};
 use crate::spec::{Resources, Step, Submission};
-use crate::table::{Occurrence, Phase, Place, TaskState};
+use crate::table::{Occurrence, Phase, Place, Task, TaskState};
 
 /// Time between two passes while nothing has changed, in milliseconds. Workers become usable again as time passes.
 const IDLE_PASS_MS: u64 = 250;
@@ -20,6 +20,17 @@
 /// about a microsecond of half a core, so the passes of a surge take about a tenth of the owner's time.
 const STEPS_PER_MS: u64 = 100;
 
+/// Starts that are ordered and have no answer, at most. A gang is placed whole and may go beyond. The pools of a large
+/// site need about 1,000 starts a second; a start then waits a quarter of a second at the longest, so places are not
+/// taken long before they are used.
+const MOST_STARTS: usize = 256;
+/// Time after which a job with nothing placed goes before the others while most of its pool's room is free, in
+/// milliseconds. Callers count a job as lost that stands still for 3 s then.
+const STANDS_MS: u64 = 1_500;
+/// Use of a pool up to which most of its room counts as free, in percent. Callers take a half; what is being placed
+/// comes on top.
+const FREE_PERCENT: u64 = 60;
+
 /// Time that a step takes beside its tasks, in milliseconds: its placement is stored and its ends are noticed.
 const STEP_MS: u64 = 50;
 
@@ -89,6 +100,24 @@
     /// Workers that may get tasks, in the order of the table.
     open: Vec<WorkerKey>,
     failed: Vec<Failed>,
+    /// Processor taken by runs, in thousandths of a core.
+    used: u64,
+    /// Processor in all, in thousandths of a core.
+    capacity: u64,
+}
+
+impl Room {
+    const fn mostly_free(&self) -> bool {
+        self.used * 100 <= self.capacity * FREE_PERCENT
+    }
+}
+
+/// One pass over the waiting tasks.
+#[derive(Debug)]
+struct Pass {
+    pools: HashMap<String, Room>,
+    /// Tasks that may still be placed.
+    left: usize,
 }
 
 /// Result of the search for a worker.
@@ -111,32 +140,57 @@
         self.passed = now;
         self.crowded = true;
         let before = self.counters.examined;
-        let mut pools = self.rooms(now);
+        let mut pass = self.begin_pass(now);
         let turns = self.turns(now);
         let jobs = turns.len() as u64;
+        for id in self.standing_jobs(now) {
+            self.place_job(now, &mut pass, id, true);
+        }
         for turn in turns {
-            self.place_job(now, &mut pools, turn.id);
+            if pass.left == 0 {
+                break;
+            }
+            self.place_job(now, &mut pass, turn.id, false);
+        }
+        // Answers make room for more starts.
+        if pass.left == 0 {
+            self.crowded = false;
         }
         self.next_pass = now + (jobs + self.counters.examined - before) / STEPS_PER_MS;
     }
 
-    /// Workers that may get tasks, by pool.
-    fn rooms(&mut self, now: u64) -> HashMap<String, Room> {
+    /// Sorts the workers by pool and counts the starts that wait for an answer.
+    fn begin_pass(&mut self, now: u64) -> Pass {
         let mut pools: HashMap<String, Room> = HashMap::new();
+        let mut waiting = 0;
         for (key, worker) in &self.workers {
             self.counters.examined += 1;
-            if !worker.open(now) || self.evacuated.contains(&worker.sighting.zone) {
+            // Starts at a worker that does not answer wait for it, not for this process.
+            if worker.answers() {
+                waiting += worker.runs.values().filter(|run| run.waits()).count();
+            }
+            if !worker.listed {
                 continue;
             }
-            match pools.get_mut(&worker.sighting.pool) {
-                Some(pool) => pool.open.push(key),
-                None => {
-                    let pool = Room { open: vec![key], failed: Vec::new() };
-                    pools.insert(worker.sighting.pool.clone(), pool);
-                }
+            if !pools.contains_key(&worker.sighting.pool) {
+                pools.insert(worker.sighting.pool.clone(), Room::default());
+            }
+            let Some(pool) = pools.get_mut(&worker.sighting.pool) else { continue };
+            pool.used += worker.used.cpu;
+            pool.capacity += worker.sighting.capacity.cpu;
+            if worker.open(now) && !self.evacuated.contains(&worker.sighting.zone) {
+                pool.open.push(key);
             }
         }
-        pools
+        Pass { pools, left: MOST_STARTS.saturating_sub(waiting) }
+    }
+
+    /// Jobs with nothing placed for long, the longest first.
+    fn standing_jobs(&self, now: u64) -> Vec<JobId> {
+        let standing = self.tracks.iter().filter_map(|(id, track)| Some((track.stands?, *id)));
+        let mut jobs: Vec<(u64, JobId)> = standing.filter(|(since, _)| since + STANDS_MS <= now).collect();
+        jobs.sort_unstable();
+        jobs.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Workers of a pool that may get tasks.
@@ -149,21 +203,27 @@
         open.map(|(key, _)| key).collect()
     }
 
-    fn turns(&self, now: u64) -> Vec<Turn> {
+    /// Jobs with waiting tasks in the order in which they are served. Notes which of them have nothing placed.
+    fn turns(&mut self, now: u64) -> Vec<Turn> {
         let greedy = self.greedy_teams();
         let mut turns = Vec::new();
+        let mut standing = Vec::new();
         for (&id, track) in self.tracks.iter().filter(|(_, track)| track.ended.is_none()) {
             let Some(job) = self.table.get(id) else { continue };
             if job.progress.phase != Phase::Active || job.canceled {
                 continue;
             }
-            let waits = |task: &crate::table::Task| task.state == TaskState::Waiting;
+            let waits = |task: &Task| task.state == TaskState::Waiting;
             if !job.progress.occurrences.iter().any(|o| o.tasks.iter().any(waits)) {
                 continue;
             }
+            // Each task that lasts counts by itself.
+            let lasting = job.submission.steps.iter().any(|step| step.lasting);
+            if lasting || !job.progress.occurrences.iter().any(|o| o.tasks.iter().any(Task::placed)) {
+                standing.push(id);
+            }
             let queue = self.queue(&job.submission.queue);
             let priority = queue.map_or(job.submission.terms.priority, |queue| queue.terms.priority);
-            let lasting = job.submission.steps.iter().any(|step| step.lasting);
             let rests = job.progress.occurrences.iter().map(|o| remaining(&job.submission, o));
             let rest = rests.max_by_key(|rest| rest.length).unwrap_or_default();
             let late = !lasting && now + rest.length + rest.steps * STEP_MS > track.objective;
@@ -171,6 +231,11 @@
             turns.push(Turn { priority, late, greedy, objective: track.objective, id });
         }
         turns.sort_unstable();
+        let mut standing = standing.into_iter().peekable();
+        for (id, track) in &mut self.tracks {
+            let stands = standing.next_if_eq(id).is_some();
+            track.stands = stands.then(|| track.stands.unwrap_or(now));
+        }
         turns
     }
 
@@ -187,13 +252,17 @@
         teams.into_iter().filter(|name| over(name)).cloned().collect()
     }
 
-    fn place_job(&mut self, now: u64, pools: &mut HashMap<String, Room>, id: JobId) {
+    /// Places ready tasks of a job. Of one that stands still a first task or gang is placed, or all that last, if most of
+    /// its pool's room is free.
+    fn place_job(&mut self, now: u64, pass: &mut Pass, id: JobId, stands: bool) {
         let Some(job) = self.table.get(id) else { return };
         let queue = self.queue(&job.submission.queue);
         let policy = queue.and_then(|queue| queue.policy);
         let name = queue.map_or(&job.submission.terms.pool, |queue| &queue.terms.pool);
         // Without a worker nothing can be placed.
-        let Some(pool) = pools.get_mut(name) else { return };
+        let Some(pool) = pass.pools.get_mut(name).filter(|pool| !stands || pool.mostly_free()) else {
+            return;
+        };
         let mut groups = Vec::new();
         let mut wanted = 0;
         for occurrence in &job.progress.occurrences {
@@ -216,11 +285,17 @@
         }
         let before = self.placed.len();
         for (step, tasks) in groups {
+            if pass.left == 0 || stands && self.placed.len() > before {
+                break;
+            }
+            let placed = self.placed.len();
             if step.gang {
                 self.place_gang(now, pool, policy, &step, &tasks);
             } else {
-                self.place_group(now, pool, policy, &step, &tasks);
+                let most = if stands && !step.lasting { 1 } else { pass.left };
+                self.place_group(now, pool, policy, &step, &tasks[..tasks.len().min(most)]);
             }
+            pass.left = pass.left.saturating_sub(self.placed.len() - placed);
         }
         if let Some((task, key)) = self.placed.get(before..).and_then(<[_]>::first) {
             log::info!(
@@ -305,6 +380,9 @@
         row.state = TaskState::Placed(place);
         row.run = number;
         job.progress.started = true;
+        if let Some(track) = self.tracks.get_mut(&task.job) {
+            track.stands = None;
+        }
         self.dirty.insert(task.job);
         self.placed.push((task, key));
         self.add_run(key, task, run);
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -75,6 +75,12 @@
 }
 
 impl Run {
+    /// True if its start waits for the store, for its turn in this process or for a first answer.
+    #[must_use]
+    pub const fn waits(&self) -> bool {
+        self.confirmed.is_none() && !self.stopping && self.unanswered == 0 && self.unsent == 0
+    }
+
     /// True if a lasting task is at work here and nobody stops it.
     #[must_use]
     pub fn at_work(&self) -> bool {
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -319,3 +319,61 @@
     assert!(examined > 0, "the tick made no pass");
     assert!(examined <= 3 * (WORKERS as u64 + JOBS), "{examined} workers examined in one pass");
 }
+
+/// After a takeover thousands of starts waited in the owner's process while their places were taken and idle.
+#[test]
+fn starts_without_an_answer_are_bounded() {
+    // A start waits a third of a second for its answer at 1,000 starts a second, which is what the pools need.
+    const MOST: usize = 333;
+    let mut world = World::new(100);
+    world.play(300);
+    for id in 1..=200 {
+        world.submit(job(id, vec![step(8, cores(1), 500)]));
+    }
+    world.sends = Some(0);
+    world.play(500);
+    let waiting = world.unsent.len();
+    assert!((1..=MOST).contains(&waiting), "{waiting} starts wait");
+    world.sends = None;
+    world.play(3_000);
+    assert!((1..=200).all(|id| world.shown(id) == Some(Shown::Completed)));
+}
+
+/// Jobs that were late stood still while most of the room was free: newer ones took all the starts that the owner could
+/// send.
+#[test]
+fn no_job_stands_still_while_most_of_the_room_is_free() {
+    // From the rules of the platform.
+    const STANDS_MS: u64 = 3_000;
+    const LATE: u64 = 300;
+    let mut world = World::new(100);
+    world.play(300);
+    world.sends = Some(4);
+    for id in 1..=LATE {
+        world.submit(job(id, vec![step(8, cores(1), 300)]));
+        world.dispatcher.set_unix(world.now, UNIX + world.now);
+    }
+    let mut moved: Vec<(u64, u64)> = (1..=LATE).map(|id| (id, world.now)).collect();
+    let mut worst = (0, 0);
+    for round in 0..1_000 {
+        if round % 2 == 0 {
+            let id = 1_000 + round;
+            let mut submission = job(id, vec![step(8, cores(1), 300)]);
+            submission.arrived_ms = UNIX + world.now;
+            world.submit(submission);
+            moved.push((id, world.now));
+        }
+        world.round();
+        let now = world.now;
+        let running: std::collections::BTreeSet<u64> =
+            world.running().iter().map(|task| task.job.0).collect();
+        moved.retain(|(id, _)| world.shown(*id) != Some(Shown::Completed));
+        for (id, at) in &mut moved {
+            if running.contains(id) {
+                *at = now;
+            }
+            worst = worst.max((now - *at, *id));
+        }
+    }
+    assert!(worst.0 <= STANDS_MS, "job {} had nothing running for {} ms", worst.1, worst.0);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -3,7 +3,7 @@
 //! Time is a number of milliseconds; nothing sleeps and nothing is random, so each test plays the same every time.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
@@ -109,6 +109,10 @@
     delayed: bool,
     /// Delay of the next orders; none if they are carried out at once.
     pub(crate) delay: Option<u64>,
+    /// Starts that the owner's process can send in a round; none if there is no bound.
+    pub(crate) sends: Option<usize>,
+    /// Starts that were ordered and not sent.
+    pub(crate) unsent: VecDeque<Start>,
     /// Times at which tasks' ends as done were noted.
     pub(crate) done: BTreeMap<TaskId, u64>,
     /// Times at which tasks' ends as failed were noted.
@@ -231,6 +235,8 @@
             late: Vec::new(),
             delayed: false,
             delay: None,
+            sends: None,
+            unsent: VecDeque::new(),
             done: BTreeMap::new(),
             failures: BTreeMap::new(),
             copied: BTreeSet::new(),
@@ -370,7 +376,14 @@
             self.dispatcher.stored(self.now, &write);
         }
         for command in self.dispatcher.take_commands() {
-            self.carry_out(command);
+            match command {
+                Command::Start(start) if self.sends.is_some() => self.unsent.push_back(start),
+                command => self.carry_out(command),
+            }
+        }
+        let sent = self.unsent.len().min(self.sends.unwrap_or(usize::MAX));
+        for start in self.unsent.drain(..sent).collect::<Vec<_>>() {
+            self.carry_out(Command::Start(start));
         }
         let due: Vec<Command> =
             self.late.extract_if(.., |(at, _)| *at <= self.now).map(|(_, command)| command).collect();
@@ -418,6 +431,7 @@
         for entry in self.stored.values() {
             table.follow(read_change(entry).expect("own records decode"));
         }
+        self.unsent.clear();
         self.epoch += 1;
         table.owner = Owner { epoch: self.epoch, name: format!("{instance}-{}", self.epoch) };
         let catalog = Arc::clone(&self.catalog);
