Tell starts that waited for their turn from unreachable workers

At most two orders to one worker are under way; a start that waits for its turn for 250 ms is given back. It was reported as unsent, three of which give the task back and close the worker for 400 ms.

Such an order now has the outcome Deferred: it is tried again and nothing is counted, unless the worker does not answer its looks either; then the task waits again at once.

--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -109,6 +109,8 @@
     Malformed,
     /// No connection was made, nothing was sent.
     Unsent,
+    /// Its turn in this process did not come in time, nothing was sent.
+    Deferred,
     /// No answer; it may be carried out, now or later.
     Unknown,
 }
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -85,6 +85,13 @@
                     self.stop_run(now, key, task);
                 }
             }
+            Outcome::Deferred => {
+                run.due = Some(now + REPEAT_MS);
+                // Without a call to the worker there is nothing to wait for.
+                if worker.silent > 0 && run.confirmed.is_none() && !repeated {
+                    self.requeue(key, task, "the worker does not answer");
+                }
+            }
             Outcome::Unsent => {
                 run.unsent += 1;
                 run.due = Some(now + REPEAT_MS);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -113,6 +113,8 @@
     pub(crate) sends: Option<usize>,
     /// Starts that were ordered and not sent.
     pub(crate) unsent: VecDeque<Start>,
+    /// Starts of which none gets its turn in the owner's process.
+    pub(crate) deferred: BTreeSet<JobId>,
     /// Times at which tasks' ends as done were noted.
     pub(crate) done: BTreeMap<TaskId, u64>,
     /// Times at which tasks' ends as failed were noted.
@@ -236,6 +238,7 @@
             delayed: false,
             delay: None,
             sends: None,
+            deferred: BTreeSet::new(),
             unsent: VecDeque::new(),
             done: BTreeMap::new(),
             failures: BTreeMap::new(),
@@ -538,7 +541,8 @@
                 self.dispatcher.looked(now, &look.target.worker, answer);
             }
             Command::Start(start) => {
-                let outcome = self.start(&start);
+                let deferred = self.deferred.contains(&start.task.job);
+                let outcome = if deferred { Outcome::Deferred } else { self.start(&start) };
                 self.dispatcher.started(now, &start.target.worker, start.task, start.run, outcome);
             }
             Command::Stop(stop) => {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -185,3 +185,38 @@
     assert_eq!(write.entries.iter().map(|entry| entry.key.as_str()).collect::<Vec<_>>(), ["owner"]);
     assert!(world.dispatcher.take_write(world.now).is_none());
 }
+
+/// A start that waited for its turn in the owner's process counted as if the worker could not be reached.
+#[test]
+fn a_start_whose_turn_did_not_come_is_not_held_against_its_worker() {
+    let mut world = World::new(1);
+    world.play(300);
+    world.deferred.insert(JobId(1));
+    world.submit(job(1, vec![step(2, cores(1), 500)]));
+    world.play(1_000);
+    assert_eq!(world.starts.len(), 0);
+    assert!(world.dispatcher.workers().all(|worker| worker.open(world.now) && worker.runs.len() == 2));
+    let first = world.dispatcher.counters.starts;
+    assert!(first > 2, "the starts are not tried again");
+    world.deferred.clear();
+    world.play(200);
+    assert!(world.starts.iter().all(|(_, _, run, _)| *run == 1));
+    assert_eq!(world.starts.len(), 2);
+}
+
+/// A start that waited for its turn kept its task at a worker that does not answer.
+#[test]
+fn a_start_whose_turn_did_not_come_leaves_a_worker_that_does_not_answer() {
+    let mut world = World::new(2);
+    world.play(300);
+    world.deferred.insert(JobId(1));
+    world.submit(job(1, vec![step(1, cores(1), 500)]));
+    world.play(100);
+    let first = world.dispatcher.workers().find(|worker| !worker.runs.is_empty()).expect("a placement");
+    let first = first.sighting.worker.clone();
+    world.workers.get_mut(&first).expect("it is known").cut = true;
+    world.play(1_000);
+    world.deferred.clear();
+    world.play(1_500);
+    assert_eq!(world.shown(1), Some(Shown::Completed));
+}
