Keep passes frequent while starts are placed

Sixteen examined workers now count as one job.

The new test failed before: "1024 starts in a second" (at least 2400; the workers can run 3,200).

--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -16,10 +16,11 @@
 /// Time between two passes while nothing has changed, in milliseconds. Workers become usable again as time passes.
 const IDLE_PASS_MS: u64 = 250;
 
-/// Jobs and workers that are examined in a pass for each millisecond until the next one at the earliest. Each takes
-/// about a microsecond of half a core, so the passes of a surge take about a tenth of the owner's time.
-const STEPS_PER_MS: u64 = 100;
-
+/// Jobs that a pass goes over for each millisecond until the next pass at the earliest. One takes about a microsecond of
+/// half a core, so the passes of a surge take about a tenth of the owner's time.
+const JOBS_PER_MS: u64 = 100;
+/// Workers that are examined in the time that a pass takes for one job.
+const WORKERS_PER_JOB: u64 = 16;
 /// Starts that are ordered and have no answer, at most. A gang is placed whole and may go beyond. The pools of a large
 /// site need about 1,000 starts a second; a start then waits a quarter of a second at the longest, so places are not
 /// taken long before they are used.
@@ -156,7 +157,8 @@
         if pass.left == 0 {
             self.crowded = false;
         }
-        self.next_pass = now + (jobs + self.counters.examined - before) / STEPS_PER_MS;
+        let examined = self.counters.examined - before;
+        self.next_pass = now + (jobs + examined / WORKERS_PER_JOB) / JOBS_PER_MS;
     }
 
     /// Sorts the workers by pool and counts the starts that wait for an answer.
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -377,3 +377,17 @@
     }
     assert!(worst.0 <= STANDS_MS, "job {} had nothing running for {} ms", worst.1, worst.0);
 }
+
+/// The time between two passes grew with the tasks that were placed, so that few starts a second were ordered.
+#[test]
+fn a_backlog_starts_as_fast_as_workers_answer() {
+    let mut world = World::new(100);
+    world.play(300);
+    for id in 1..=1_500 {
+        world.submit(job(id, vec![step(8, cores(1), 500)]));
+    }
+    world.starts.clear();
+    world.play(1_000);
+    // The workers can run 3,200 such tasks in a second.
+    assert!(world.starts.len() >= 2_400, "{} starts in a second", world.starts.len());
+}
