Send a start only once its own placement is stored

The queue of starts that wait for a write held the task and the worker. If a run was released and its task placed on the same worker again before the first write was stored, that write sent the second run, which a successor would not know of: it could start the task again beside it. It needs a worker that starts anew under its id within one write.

The queue now holds the number of the run as well.

Failed before: a_start_goes_out_only_after_its_own_placement_is_stored ("a run was sent before it was stored", left [2], right []).

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -111,10 +111,10 @@
     dirty_orders: BTreeSet<String>,
     /// Machines whose order waits for a write to be stored.
     unstored_orders: VecDeque<(WriteNumber, String)>,
-    /// Tasks whose start waits for a write.
-    unstored: VecDeque<(WriteNumber, TaskId, WorkerKey)>,
-    /// Tasks placed since the last write was taken.
-    placed: Vec<(TaskId, WorkerKey)>,
+    /// Tasks whose start waits for a write, with the number of the run.
+    unstored: VecDeque<(WriteNumber, TaskId, u32, WorkerKey)>,
+    /// Tasks placed since the last write was taken, with the number of the run.
+    placed: Vec<(TaskId, u32, WorkerKey)>,
     write: WriteNumber,
     stored: WriteNumber,
     commands: Vec<Command>,
@@ -302,8 +302,8 @@
                 self.unstored_orders.push_back((self.write, machine));
             }
         }
-        for (task, key) in std::mem::take(&mut self.placed) {
-            self.unstored.push_back((self.write, task, key));
+        for (task, run, key) in std::mem::take(&mut self.placed) {
+            self.unstored.push_back((self.write, task, run, key));
         }
         Some(Write { number: self.write, entries, taken: now, shown })
     }
@@ -317,13 +317,13 @@
                 job.show(started, phase);
             }
         }
-        while let Some(&(number, task, key)) = self.unstored.front() {
+        while let Some(&(number, task, placed, key)) = self.unstored.front() {
             if number > write.number {
                 break;
             }
             self.unstored.pop_front();
             let run = self.workers.get(key).and_then(|worker| worker.runs.get(&task));
-            if run.is_some_and(|run| !run.sent) {
+            if run.is_some_and(|run| !run.sent && run.number == placed) {
                 self.order_start(now, key, task);
             }
         }
--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -299,7 +299,7 @@
             }
             pass.left = pass.left.saturating_sub(self.placed.len() - placed);
         }
-        if let Some((task, key)) = self.placed.get(before..).and_then(<[_]>::first) {
+        if let Some((task, _, key)) = self.placed.get(before..).and_then(<[_]>::first) {
             log::info!(
                 job:% = id, placed = self.placed.len() - before, waiting = wanted, first:% = task,
                 worker = self.name_of(*key), version = self.catalog.version;
@@ -386,14 +386,14 @@
             track.stands = None;
         }
         self.dirty.insert(task.job);
-        self.placed.push((task, key));
+        self.placed.push((task, number, key));
         self.add_run(key, task, run);
     }
 
     /// Takes back a placement that was not stored.
     fn withdraw(&mut self, key: WorkerKey, task: TaskId, former: u32) {
         self.release(key, task);
-        self.placed.retain(|(placed, _)| *placed != task);
+        self.placed.retain(|(placed, ..)| *placed != task);
         let Some(job) = self.table.get_mut(task.job) else { return };
         if let Some(row) = job.progress.task_mut(&job.submission, task) {
             row.state = TaskState::Waiting;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,13 +2,14 @@
 
 mod support;
 
+use rattanfall_jobs::dispatch::Dispatcher;
 use rattanfall_jobs::dispatch::command::Command;
-use rattanfall_jobs::dispatch::event::{Outcome, Seen};
+use rattanfall_jobs::dispatch::event::{Outcome, Seen, Sighting};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::record::Intake;
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::Shown;
-use support::{World, cores, job, step};
+use support::{UNIX, World, cores, job, step};
 
 #[test]
 fn a_new_owner_adopts_what_runs() {
@@ -283,3 +284,37 @@
     }
     assert!(starts > 0, "the worker gets no task 18 s after the outage");
 }
+
+/// A second placement on a worker went out once the first one's write was stored.
+#[test]
+fn a_start_goes_out_only_after_its_own_placement_is_stored() {
+    let mut world = World::new(1);
+    world.play(500);
+    world.submit(job(1, vec![step(1, cores(1), 500)]));
+    let (now, worker) = (world.now, world.worker_on("red-00"));
+    let d = &mut world.dispatcher;
+    d.tick(now + 5);
+    let first = d.take_write(now + 5).expect("the placement");
+    // The worker starts anew while the write is under way, answers and gets the task again.
+    let born = UNIX + 400;
+    let sighting = Sighting { born, clock_ms: 1_000 + now, ..world.workers[&worker].sighting.clone() };
+    d.sighted(now + 6, sighting);
+    d.tick(now + 7);
+    drop(d.take_commands());
+    let seen = Seen { clock_ms: 1_010 + now, born, running: Vec::new(), ended: Vec::new() };
+    d.looked(now + 8, &worker, Ok(seen));
+    d.tick(now + 9);
+    drop(d.take_commands());
+    let sent = |d: &mut Dispatcher| -> Vec<u32> {
+        let starts = d.take_commands().into_iter().filter_map(|command| match command {
+            Command::Start(start) => Some(start.run),
+            _ => None,
+        });
+        starts.collect()
+    };
+    d.stored(now + 10, &first);
+    assert_eq!(sent(d), [], "a run was sent before it was stored");
+    let second = d.take_write(now + 11).expect("the second placement");
+    d.stored(now + 12, &second);
+    assert_eq!(sent(d), [2]);
+}
