Finish late jobs one after the other

Cause: jobs that stood still took all starts, a task of each at a time. A job of 16 tasks then needs 16 turns of more than two seconds.

Change: instead, each fourth pass serves late jobs first, in their order, where most of the pool's room is free. The record of jobs that stand still is gone.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -84,8 +84,6 @@
     objective: u64,
     /// Time of the end, once it has ended.
     ended: Option<u64>,
-    /// Time from which nothing of it was placed though a task could start.
-    stands: Option<u64>,
 }
 
 /// Owner's state machine. Times are milliseconds of the process's steady clock.
@@ -122,6 +120,8 @@
     crowded: bool,
     /// Time of the last pass over the waiting tasks.
     passed: u64,
+    /// Passes so far.
+    passes: u64,
     /// Time before which no other pass is made.
     next_pass: u64,
     /// Active jobs with occurrences that have not begun.
@@ -178,6 +178,7 @@
             commands: Vec::new(),
             crowded: false,
             passed: 0,
+            passes: 0,
             next_pass: 0,
             scheduled: BTreeSet::new(),
             swept: 0,
--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -25,9 +25,9 @@
 /// site need about 1,000 starts a second; a start then waits a quarter of a second at the longest, so places are not
 /// taken long before they are used.
 const MOST_STARTS: usize = 256;
-/// Time after which a job with nothing placed goes before the others while most of its pool's room is free, in
-/// milliseconds. Callers count a job as lost that stands still for 3 s then.
-const STANDS_MS: u64 = 1_500;
+/// Passes of which one serves late jobs first, where most of a pool's room is free. Callers count a job as lost that stands
+/// still there; more such passes would keep jobs from being on time that still can be.
+const LATE_PASSES: u64 = 4;
 /// Use of a pool up to which most of its room counts as free, in percent. Callers take a half; what is being placed
 /// comes on top.
 const FREE_PERCENT: u64 = 60;
@@ -144,8 +144,15 @@
         let mut pass = self.begin_pass(now);
         let turns = self.turns(now);
         let jobs = turns.len() as u64;
-        for id in self.standing_jobs(now) {
-            self.place_job(now, &mut pass, id, true);
+        self.passes += 1;
+        if self.passes.is_multiple_of(LATE_PASSES) {
+            // One after the other: a task of each in turn would take longer for all of them.
+            for turn in turns.iter().filter(|turn| turn.late) {
+                if pass.left == 0 {
+                    break;
+                }
+                self.place_job(now, &mut pass, turn.id, true);
+            }
         }
         for turn in turns {
             if pass.left == 0 {
@@ -187,14 +194,6 @@
         Pass { pools, left: MOST_STARTS.saturating_sub(waiting) }
     }
 
-    /// Jobs with nothing placed for long, the longest first.
-    fn standing_jobs(&self, now: u64) -> Vec<JobId> {
-        let standing = self.tracks.iter().filter_map(|(id, track)| Some((track.stands?, *id)));
-        let mut jobs: Vec<(u64, JobId)> = standing.filter(|(since, _)| since + STANDS_MS <= now).collect();
-        jobs.sort_unstable();
-        jobs.into_iter().map(|(_, id)| id).collect()
-    }
-
     /// Workers of a pool that may get tasks.
     pub(super) fn open_workers(&self, now: u64, pool: &str) -> Vec<WorkerKey> {
         let open = self.workers.iter().filter(|(_, worker)| {
@@ -205,11 +204,10 @@
         open.map(|(key, _)| key).collect()
     }
 
-    /// Jobs with waiting tasks in the order in which they are served. Notes which of them have nothing placed.
-    fn turns(&mut self, now: u64) -> Vec<Turn> {
+    /// Jobs with waiting tasks in the order in which they are served.
+    fn turns(&self, now: u64) -> Vec<Turn> {
         let greedy = self.greedy_teams();
         let mut turns = Vec::new();
-        let mut standing = Vec::new();
         for (&id, track) in self.tracks.iter().filter(|(_, track)| track.ended.is_none()) {
             let Some(job) = self.table.get(id) else { continue };
             if job.progress.phase != Phase::Active || job.canceled {
@@ -219,13 +217,9 @@
             if !job.progress.occurrences.iter().any(|o| o.tasks.iter().any(waits)) {
                 continue;
             }
-            // Each task that lasts counts by itself.
-            let lasting = job.submission.steps.iter().any(|step| step.lasting);
-            if lasting || !job.progress.occurrences.iter().any(|o| o.tasks.iter().any(Task::placed)) {
-                standing.push(id);
-            }
             let queue = self.queue(&job.submission.queue);
             let priority = queue.map_or(job.submission.terms.priority, |queue| queue.terms.priority);
+            let lasting = job.submission.steps.iter().any(|step| step.lasting);
             let rests = job.progress.occurrences.iter().map(|o| remaining(&job.submission, o));
             let rest = rests.max_by_key(|rest| rest.length).unwrap_or_default();
             let late = !lasting && now + rest.length + rest.steps * STEP_MS > track.objective;
@@ -233,11 +227,6 @@
             turns.push(Turn { priority, late, greedy, objective: track.objective, id });
         }
         turns.sort_unstable();
-        let mut standing = standing.into_iter().peekable();
-        for (id, track) in &mut self.tracks {
-            let stands = standing.next_if_eq(id).is_some();
-            track.stands = stands.then(|| track.stands.unwrap_or(now));
-        }
         turns
     }
 
@@ -254,15 +243,14 @@
         teams.into_iter().filter(|name| over(name)).cloned().collect()
     }
 
-    /// Places ready tasks of a job. Of one that stands still a first task or gang is placed, or all that last, if most of
-    /// its pool's room is free.
-    fn place_job(&mut self, now: u64, pass: &mut Pass, id: JobId, stands: bool) {
+    /// Places ready tasks of a job, `spare` only if most of its pool's room is free.
+    fn place_job(&mut self, now: u64, pass: &mut Pass, id: JobId, spare: bool) {
         let Some(job) = self.table.get(id) else { return };
         let queue = self.queue(&job.submission.queue);
         let policy = queue.and_then(|queue| queue.policy);
         let name = queue.map_or(&job.submission.terms.pool, |queue| &queue.terms.pool);
         // Without a worker nothing can be placed.
-        let Some(pool) = pass.pools.get_mut(name).filter(|pool| !stands || pool.mostly_free()) else {
+        let Some(pool) = pass.pools.get_mut(name).filter(|pool| !spare || pool.mostly_free()) else {
             return;
         };
         let mut groups = Vec::new();
@@ -287,15 +275,14 @@
         }
         let before = self.placed.len();
         for (step, tasks) in groups {
-            if pass.left == 0 || stands && self.placed.len() > before {
+            if pass.left == 0 {
                 break;
             }
             let placed = self.placed.len();
             if step.gang {
                 self.place_gang(now, pool, policy, &step, &tasks);
             } else {
-                let most = if stands && !step.lasting { 1 } else { pass.left };
-                self.place_group(now, pool, policy, &step, &tasks[..tasks.len().min(most)]);
+                self.place_group(now, pool, policy, &step, &tasks[..tasks.len().min(pass.left)]);
             }
             pass.left = pass.left.saturating_sub(self.placed.len() - placed);
         }
@@ -382,9 +369,6 @@
         row.state = TaskState::Placed(place);
         row.run = number;
         job.progress.started = true;
-        if let Some(track) = self.tracks.get_mut(&task.job) {
-            track.stands = None;
-        }
         self.dirty.insert(task.job);
         self.placed.push((task, number, key));
         self.add_run(key, task, run);
