Leave alone what belongs to jobs that are not known yet

A new owner that had not read the intake to its end stopped the runs of jobs that it did not know and acknowledged their ends, which their workers then forgot. When a submission came, its tasks that were stored as placed got no run: nothing looked for them, and the job stayed Running for ever.

A submission now adopts the tasks that its progress shows as placed. Runs of unknown jobs are not stopped, and ends from the first one of an unknown job on are not acknowledged, until the intake was read at a later time than the first look that listed them, or for 5 s. The process tells this with Dispatcher::intake_read; until it does, only the 5 s hold.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -130,6 +130,8 @@
     scheduled: BTreeSet<JobId>,
     /// Time of the last search for jobs that ended long ago.
     swept: u64,
+    /// Time up to which all accepted jobs and cancellations are known.
+    intake: u64,
     dropped: Vec<JobId>,
     /// Times after their objectives at which jobs completed, in milliseconds.
     late: Vec<u64>,
@@ -184,6 +186,7 @@
             next_pass: 0,
             scheduled: BTreeSet::new(),
             swept: 0,
+            intake: 0,
             dropped: Vec::new(),
             late: Vec::new(),
             unix_offset: 0,
@@ -223,6 +226,11 @@
         self.contact = self.contact.max(asked);
     }
 
+    /// Notes that the intake was read to the end that it had at a time: all jobs that were accepted before are known.
+    pub fn intake_read(&mut self, asked: u64) {
+        self.intake = self.intake.max(asked);
+    }
+
     /// Asks for a write that proves that there is no newer owner. Needed when another instance may have seen this one
     /// leave the group.
     pub const fn prove_ownership(&mut self) {
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -18,9 +18,8 @@
         self.track(now, id);
         self.note_arrival(now, id);
         self.crowded = false;
-        if self.table.get(id).is_some_and(|job| job.canceled) {
-            self.canceled(now, id);
-        }
+        // Its progress may have been read before it, with tasks that a former owner placed.
+        self.adopt_job(now, id);
     }
 
     /// Takes note of a cancellation that the table has just received.
--- a/crates/jobs/src/dispatch/systems/looks.rs
+++ b/crates/jobs/src/dispatch/systems/looks.rs
@@ -1,11 +1,13 @@
 //! Looks at workers: they renew leases, fence older owners, bring ends and show what really runs.
 
+use std::collections::BTreeSet;
+
 use super::super::Dispatcher;
 use super::super::command::{Command, Look, Stop, Target};
 use super::super::event::{Listed, Outcome, Seen, Sighting};
 use super::super::worker::{Inherited, Looking, Run, Worker, WorkerKey};
 use super::runs::RunEnd;
-use crate::ids::TaskId;
+use crate::ids::{JobId, TaskId};
 use crate::table::{Phase, Place, TaskState};
 
 /// Time between looks while ends wait for the store, in milliseconds. A look that waits would return at once.
@@ -19,6 +21,9 @@
 const MISSING_LOOKS: u32 = 2;
 /// Time for which a worker with a run of unknown size gets no new tasks, in milliseconds. Above the time between looks.
 const FOREIGN_MS: u64 = 2_000;
+/// Time for which runs and ends of unknown jobs are left as they are, in milliseconds, until the intake has been read.
+/// Above the time of a claim; without a bound they would keep all later ends of the worker from being acknowledged.
+const UNKNOWN_MS: u64 = 5_000;
 /// Time after which a stop that has no effect is repeated, in milliseconds.
 const STOP_REPEAT_MS: u64 = 1_500;
 
@@ -71,6 +76,7 @@
         worker.fenced = false;
         worker.silent = 0;
         worker.looking = Looking::Idle(now);
+        worker.unknown = None;
         worker.acknowledged = 0;
         worker.told = 0;
         worker.storing = None;
@@ -86,7 +92,8 @@
         for worker in self.workers.values_mut() {
             let Looking::Idle(due) = worker.looking else { continue };
             let tell = worker.acknowledged > worker.told;
-            let wanted = worker.listed && (!worker.answers() || tell) || !worker.runs.is_empty();
+            let open = !worker.answers() || tell || worker.unknown.is_some();
+            let wanted = worker.listed && open || !worker.runs.is_empty();
             if due > now || !wanted || worker.sighting.address.is_empty() {
                 continue;
             }
@@ -167,8 +174,9 @@
             worker.fenced = true;
             self.crowded = false;
         }
-        self.note_ends(now, key, &seen);
-        self.compare_runs(now, sent, key, &seen);
+        let held = self.held_jobs(now, key, &seen);
+        self.note_ends(now, key, &seen, &held);
+        self.compare_runs(now, sent, key, &seen, &held);
         self.pace_runs(now, key, &seen);
         self.replace_slow_runs(now, key);
         if let Some(worker) = self.workers.get_mut(key) {
@@ -183,12 +191,31 @@
         }
     }
 
-    fn note_ends(&mut self, now: u64, key: WorkerKey, seen: &Seen) {
+    /// Listed jobs that are not known and may be in a part of the intake that has not been read yet.
+    fn held_jobs(&mut self, now: u64, key: WorkerKey, seen: &Seen) -> BTreeSet<JobId> {
+        let tasks = seen.running.iter().map(|run| run.task).chain(seen.ended.iter().map(|end| end.task));
+        let unknown: BTreeSet<JobId> =
+            tasks.map(|task| task.job).filter(|id| self.table.get(*id).is_none()).collect();
+        let Some(worker) = self.workers.get_mut(key) else { return unknown };
+        if unknown.is_empty() {
+            worker.unknown = None;
+            return unknown;
+        }
+        let since = *worker.unknown.get_or_insert(now);
+        if self.intake <= since && now < since + UNKNOWN_MS { unknown } else { BTreeSet::new() }
+    }
+
+    /// Takes note of the listed ends. Those from the first one of a held job on are not acknowledged.
+    fn note_ends(&mut self, now: u64, key: WorkerKey, seen: &Seen, held: &BTreeSet<JobId>) {
         let Some(worker) = self.workers.get(key) else { return };
         let stored = worker.acknowledged;
         let mut last = stored;
+        let waiting = seen.ended.iter().filter(|ended| held.contains(&ended.task.job));
+        let first_held = waiting.map(|ended| ended.number).min().unwrap_or(u64::MAX);
         for ended in seen.ended.iter().filter(|ended| ended.number > stored) {
-            last = last.max(ended.number);
+            if ended.number < first_held {
+                last = last.max(ended.number);
+            }
             let end = RunEnd { run: ended.run, how: ended.how, checkpoint: ended.checkpoint.clone() };
             self.end_run(now, key, ended.task, &end);
         }
@@ -207,7 +234,7 @@
     }
 
     /// Compares the runs that a worker lists with those placed there.
-    fn compare_runs(&mut self, now: u64, sent: u64, key: WorkerKey, seen: &Seen) {
+    fn compare_runs(&mut self, now: u64, sent: u64, key: WorkerKey, seen: &Seen, held: &BTreeSet<JobId>) {
         let stop_ms = self.options.stop_ms;
         let Some(worker) = self.workers.get_mut(key) else { return };
         let mut lost = Vec::new();
@@ -245,6 +272,10 @@
             self.requeue(key, task, "the worker does not list the run");
         }
         for listed in foreign {
+            if held.contains(&listed.task.job) {
+                self.avoid_foreign(now, key);
+                continue;
+            }
             self.take_in_run(now, key, &target, &listed);
         }
     }
@@ -271,12 +302,7 @@
                 };
                 self.add_run(key, task, run);
             }
-            None => {
-                // What it takes is not known, so nothing else may start there until it has ended.
-                if let Some(worker) = self.workers.get_mut(key) {
-                    worker.avoid = worker.avoid.max(now + FOREIGN_MS);
-                }
-            }
+            None => self.avoid_foreign(now, key),
         }
         if !resumed {
             let stop = Stop { target: target.clone(), token: self.epoch, task, run: number };
@@ -284,6 +310,13 @@
         }
     }
 
+    /// Keeps new tasks off a worker with a run of unknown size until it has ended.
+    fn avoid_foreign(&mut self, now: u64, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.avoid = worker.avoid.max(now + FOREIGN_MS);
+        }
+    }
+
     /// Places a waiting task where its last run still goes on.
     fn resume_run(&mut self, key: WorkerKey, task: TaskId, number: u32) -> bool {
         let Some(worker) = self.workers.get(key) else { return false };
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -17,12 +17,7 @@
         let ids: Vec<JobId> = self.table.ids().collect();
         for id in ids {
             self.track(now, id);
-            for (task, row) in self.placed_tasks(id) {
-                let TaskState::Placed(place) = row.state.clone() else { continue };
-                let key = self.worker_at(now, &place);
-                self.adopt_run(now, key, task, &row);
-            }
-            self.resume_job(now, id);
+            self.adopt_job(now, id);
         }
         log::info!(
             epoch = self.epoch, jobs = self.tracks.len(), workers = self.workers.len();
@@ -30,6 +25,16 @@
         );
     }
 
+    /// Takes over the placed tasks of a job.
+    pub(super) fn adopt_job(&mut self, now: u64, id: JobId) {
+        for (task, row) in self.placed_tasks(id) {
+            let TaskState::Placed(place) = row.state.clone() else { continue };
+            let key = self.worker_at(now, &place);
+            self.adopt_run(now, key, task, &row);
+        }
+        self.resume_job(now, id);
+    }
+
     /// Goes on with what the former owner may have left undone.
     fn resume_job(&mut self, now: u64, id: JobId) {
         let Some(job) = self.table.get(id) else { return };
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -147,6 +147,8 @@
     pub telling: u64,
     /// Ends that wait for the store: number of the write and of the end.
     pub storing: Option<(u64, u64)>,
+    /// Time from which it has listed runs or ends of jobs that are not known.
+    pub unknown: Option<u64>,
     /// Runs.
     pub runs: BTreeMap<TaskId, Run>,
     /// Room taken by runs.
@@ -177,6 +179,7 @@
             told: 0,
             telling: 0,
             storing: None,
+            unknown: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
             failing: 0,
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -113,7 +113,9 @@
     pub(crate) sends: Option<usize>,
     /// Starts that were ordered and not sent.
     pub(crate) unsent: VecDeque<Start>,
-    /// Starts of which none gets its turn in the owner's process.
+    /// True while the owner does not read the intake.
+    pub(crate) blind: bool,
+    /// Jobs whose starts get no turn in the owner's process.
     pub(crate) deferred: BTreeSet<JobId>,
     /// Times at which tasks' ends as done were noted.
     pub(crate) done: BTreeMap<TaskId, u64>,
@@ -238,6 +240,7 @@
             delayed: false,
             delay: None,
             sends: None,
+            blind: false,
             deferred: BTreeSet::new(),
             unsent: VecDeque::new(),
             done: BTreeMap::new(),
@@ -371,6 +374,9 @@
         }
         self.dispatcher.set_unix(self.now, UNIX + self.now);
         self.dispatcher.contacted(self.now);
+        if !self.blind {
+            self.dispatcher.intake_read(self.now);
+        }
         self.dispatcher.tick(self.now);
         if !self.down
             && let Some(write) = self.dispatcher.take_write(self.now)
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -318,3 +318,71 @@
     d.stored(now + 12, &second);
     assert_eq!(sent(d), [2]);
 }
+
+/// Takes over with a view of the intake that lacks a job whose progress is stored.
+fn take_over_without(world: &mut World, missing: u64) {
+    let submissions = world.submissions.clone();
+    world.submissions.retain(|submission| submission.id != JobId(missing));
+    world.take_over();
+    world.submissions = submissions;
+    world.blind = true;
+}
+
+/// Reads the submission of a job that was taken over.
+fn read_late(world: &mut World, id: u64) {
+    let submission = world.submissions.iter().find(|s| s.id == JobId(id)).expect("submitted").clone();
+    world.dispatcher.table.take_in(Intake::Submitted(submission));
+    world.dispatcher.submitted(world.now, JobId(id));
+    world.blind = false;
+}
+
+/// A placed job whose submission the new owner read after its claim was stopped and never run again.
+#[test]
+fn a_job_whose_submission_is_read_after_the_claim_goes_on() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(2, cores(1), 1_500)]));
+    world.play(500);
+    take_over_without(&mut world, 1);
+    world.play(500);
+    read_late(&mut world, 1);
+    world.play(3_000);
+    assert_eq!(world.stops, []);
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(world.shown(1), Some(Shown::Completed));
+}
+
+/// An end of a task whose job the new owner had not read yet was acknowledged and forgotten.
+#[test]
+fn an_end_that_is_listed_before_its_submission_is_read_counts() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(2, cores(1), 600)]));
+    world.play(300);
+    world.down = true;
+    world.play(600);
+    take_over_without(&mut world, 1);
+    world.down = false;
+    world.play(500);
+    assert!(world.looks.iter().all(|(_, look)| look.acknowledged == 0), "an end was acknowledged");
+    read_late(&mut world, 1);
+    world.play(3_000);
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(world.shown(1), Some(Shown::Completed));
+}
+
+/// Guards against runs and ends of jobs that no longer exist, which would fill their workers for ever.
+#[test]
+fn runs_and_ends_of_jobs_that_are_not_in_the_intake_are_cleared() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(1, cores(1), 400), step(1, cores(1), 60_000)]));
+    world.play(300);
+    world.down = true;
+    world.play(300);
+    take_over_without(&mut world, 1);
+    world.down = false;
+    world.play(500);
+    assert_eq!(world.running().len(), 1);
+    world.blind = false;
+    world.play(1_000);
+    assert_eq!(world.running(), []);
+    assert!(world.workers.values().all(|worker| worker.ended.is_empty()), "an end is still listed");
+}
