Let a new owner count contact from its claim

A new owner counted contact with the store from the time at which its decisions were set up, after the append of the claim and a read of the directory. If the process stood still in between, it granted leases although another owner could have followed by then.

Dispatcher::claimed takes the time at which the claim was sent.

The new test failed with an empty method: left 2 looks, right 0.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -202,6 +202,14 @@
         dispatcher
     }
 
+    /// Counts contact with the store from the time at which the claim was sent instead of the present one. Another owner
+    /// may have followed since.
+    #[must_use]
+    pub const fn claimed(mut self, asked: u64) -> Self {
+        self.contact = asked;
+        self
+    }
+
     /// Epoch, the fencing token of all orders.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use rattanfall_jobs::dispatch::Dispatcher;
 use rattanfall_jobs::dispatch::command::Command;
 use rattanfall_jobs::dispatch::event::{Outcome, Seen, Sighting};
+use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::record::Intake;
 use rattanfall_jobs::spec::Step;
@@ -386,3 +389,29 @@
     assert_eq!(world.running(), []);
     assert!(world.workers.values().all(|worker| worker.ended.is_empty()), "an end is still listed");
 }
+
+/// A process that stood still after its claim granted leases and sent starts though another owner could have followed.
+#[test]
+fn contact_counts_from_the_time_at_which_the_claim_was_sent() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(1, cores(1), 500)]));
+    let silence_ms = Options::default().silence_ms;
+    let now = silence_ms + 1_000;
+    let claim = |asked| {
+        let table = world.dispatcher.table.clone();
+        let catalog = Arc::clone(&world.catalog);
+        let new = Dispatcher::new(Options::default(), 2, table, catalog, now, UNIX + now);
+        let mut dispatcher = new.claimed(asked);
+        for worker in world.workers.values() {
+            dispatcher.sighted(now, worker.sighting.clone());
+        }
+        dispatcher.tick(now);
+        dispatcher
+    };
+    assert_eq!(claim(500).counters.looks, 0);
+    assert_eq!(claim(1_500).counters.looks, 2);
+    let mut late = claim(500);
+    late.contacted(now);
+    late.tick(now);
+    assert_eq!(late.counters.looks, 2);
+}
