Test calls about new jobs, slow links alone and successors that are behind

Cause: the tests of views had one node with a slow link, nobody who called it while it was behind, and an owner that stays.

New: calls about new jobs after a cut, the kill of all with slow links alone, a cancellation with a successor that is behind on the intake, and a successor that starts no task again. The test of cancellations uses shorter pages, so that a node on its link can claim the work at all, and no longer demands that the owner stays, which no promise does. Killed nodes get no answers any more, which took the rate of the link from their next processes.

--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -184,12 +184,18 @@
         }
     }
 
+    /// Waits until an answer has arrived; for ever if the node was killed meanwhile, so that nothing of it is on the link.
+    async fn answer(&self, bytes: usize) {
+        self.live().await;
+        self.link.answer(bytes).await;
+    }
+
     /// Outcome of a call to the group.
     async fn group<T>(&self, act: impl FnOnce(&mut World) -> T) -> Result<T, StoreError> {
         let call = async {
             self.reach(false).await?;
             let answer = act(&mut self.world.borrow_mut());
-            self.link.answer(HEAD_BYTES).await;
+            self.answer(HEAD_BYTES).await;
             Ok(answer)
         };
         within(LIMIT, call).await
@@ -262,7 +268,7 @@
                     std::future::pending::<()>().await;
                 }
             }
-            self.link.answer(HEAD_BYTES).await;
+            self.answer(HEAD_BYTES).await;
             appended
         };
         within(LIMIT, call).await
@@ -278,7 +284,7 @@
             }
             let page = self.page(topic, from, wait).await?;
             let bytes: usize = page.entries.iter().map(|(_, entry)| entry.size() + RECORD_BYTES).sum();
-            self.link.answer(HEAD_BYTES + bytes).await;
+            self.answer(HEAD_BYTES + bytes).await;
             Ok(page)
         };
         within(LIMIT + wait, call).await
@@ -295,7 +301,7 @@
                 if index > 0 {
                     self.reach(false).await?;
                 }
-                self.link.answer(bytes).await;
+                self.answer(bytes).await;
                 Ok(())
             };
             within(NEWEST_LIMIT, part).await?;
--- a/crates/jobs/tests/views.rs
+++ b/crates/jobs/tests/views.rs
@@ -12,6 +12,7 @@
 use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::ports::Topic;
 use rattanfall_jobs::spec::Submission;
+use rattanfall_jobs::table::Shown;
 use rstest::rstest;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -22,6 +23,8 @@
 const NODES: usize = 8;
 /// New jobs of one second of usual traffic.
 const TRAFFIC: u64 = 75;
+/// Calls of one second about the newest job.
+const CALLS: u64 = 20;
 /// Processor of a task that finds room at once, in thousandths.
 const SMALL: u64 = 25;
 /// Time between the ends of a job's tasks.
@@ -215,15 +218,44 @@
     .await;
 }
 
-/// Each node read every payload and the progress of each task before it served anybody.
+/// Each call about a job that the node had not read yet read the whole backlog for itself.
 #[tokio::test(start_paused = true)]
-async fn a_node_on_a_slow_link_is_ready_within_3_s_of_the_kill_of_all() {
+async fn calls_about_new_jobs_do_not_keep_a_node_from_its_backlog() {
     Cluster::run(NODES, |cluster| async move {
+        cluster.link(0).set_rate(Some(SLOW));
+        cluster.stagger(STAGGER);
+        let traffic = Traffic::start(&cluster, 1, TRAFFIC, usual);
+        cluster.settle(3_000).await;
+        cluster.link(0).set_cut(true);
+        cluster.settle(6_000).await;
+        cluster.link(0).set_cut(false);
+        let (caller, newest) = (Rc::clone(&cluster), Rc::clone(&traffic.next));
+        spawn_local(async move {
+            loop {
+                let (cluster, id) = (Rc::clone(&caller), newest.get() - 1);
+                spawn_local(async move { cluster.call(0, read(id)).await });
+                caller.settle(1_000 / CALLS).await;
+            }
+        });
+        let took = wait_ready(&cluster, 0, Duration::from_secs(10)).await;
+        assert!(took <= Duration::from_secs(2), "not ready for {took:?}");
+        assert_answers(&cluster, &traffic, &[1]).await;
+    })
+    .await;
+}
+
+/// Each node read every payload and the progress of each task before it served anybody.
+#[rstest]
+#[case::one_slow_link(1)]
+#[case::only_slow_links(NODES)]
+#[tokio::test(start_paused = true)]
+async fn a_node_on_a_slow_link_is_ready_within_3_s_of_the_kill_of_all(#[case] slow: usize) {
+    Cluster::run(NODES, move |cluster| async move {
         let held = 3_500;
         cluster.stagger(STAGGER);
         cluster.accept((1..=held).map(usual));
         cluster.settle(30_000).await;
-        cluster.link(0).set_rate(Some(SLOW));
+        (0..slow).for_each(|node| cluster.link(node).set_rate(Some(SLOW)));
         cluster.restart_all();
         let traffic = Traffic::start(&cluster, held + 1, TRAFFIC, usual);
         let took = wait_ready(&cluster, 0, Duration::from_secs(60)).await;
@@ -247,19 +279,25 @@
 }
 
 /// An owner that had not read a cancellation yet went on with the job.
+#[rstest]
+#[case::owner(false)]
+#[case::successor(true)]
 #[tokio::test(start_paused = true)]
-async fn an_owner_behind_on_the_intake_starts_nothing_4_s_after_a_cancellation() {
-    Cluster::run(3, |cluster| async move {
+async fn an_owner_behind_on_the_intake_starts_nothing_4_s_after_a_cancellation(#[case] killed: bool) {
+    Cluster::run(3, move |cluster| async move {
         let owner = cluster.owner();
         let follower = (owner + 1) % 3;
         // Three of its tasks run at a time, so it starts tasks for 16 s.
         cluster.accept([submission(1, 100, WORKER, 0)]);
         cluster.settle(1_000).await;
         assert!(cluster.last_start(1).is_some());
-        // The link carries a page in 0.84 s, and the backlog in about 10 s.
-        cluster.link(owner).set_rate(Some(SLOW / 4));
-        cluster.bound_pages(SLOW as usize / 4 * 84 / 100);
+        // The links carry a page in 0.2 s, and the backlog in about 10 s.
+        (0..3).filter(|node| *node != follower).for_each(|node| cluster.link(node).set_rate(Some(SLOW / 4)));
+        cluster.bound_pages(SLOW as usize / 20);
         cluster.accept((2..=3_200).map(|id| submission(id, 1, HUGE, 900)));
+        if killed {
+            cluster.kill(owner);
+        }
         let begun = Instant::now();
         while cluster.call(follower, call(1, Verb::Cancel)).await != Answer::Canceled {
             assert!(begun.elapsed() < Duration::from_secs(60), "the cancellation is not accepted");
@@ -267,6 +305,7 @@
         }
         let accepted = Instant::now();
         cluster.settle(15_000).await;
+        assert!(!killed || cluster.owner() != owner, "no successor");
         let last = cluster.last_start(1).expect("the job has started");
         let late = last.saturating_duration_since(accepted);
         assert!(late <= CANCEL, "a start {late:?} after the cancellation");
@@ -326,3 +365,23 @@
     })
     .await;
 }
+
+/// Guards against a successor that takes runs of jobs that it has not read yet for foreign ones.
+#[tokio::test(start_paused = true)]
+async fn a_successor_behind_on_the_intake_starts_no_task_again() {
+    Cluster::run(3, |cluster| async move {
+        let (held, tasks) = (300, 4);
+        cluster.bound_pages(4_000);
+        cluster.accept((1..=held).map(|id| submission(id, tasks, WORKER / 16, 900)));
+        cluster.settle(3_000).await;
+        let owner = cluster.owner();
+        cluster.kill(owner);
+        cluster.settle(30_000).await;
+        let other = (owner + 1) % 3;
+        for id in 1..=held {
+            assert_eq!(cluster.call(other, read(id)).await, Answer::State(Shown::Completed), "job {id}");
+        }
+        assert_eq!((cluster.starts(), cluster.doubled()), (1_200, 0), "starts, and those of running tasks");
+    })
+    .await;
+}
