Tell the owner's decisions when the intake was read and the claim was sent

The decisions keep the runs and ends of unknown jobs until the intake was read past them, and count contact from the claim; the node told them neither, so only the bound of 5 s held. Starts that are held back while the intake can't be read count as deferred, not as an unreachable worker: three of these closed a sound worker for 0.4 s and placed the task anew. A directory that could not be read at a takeover was passed over without a line.

--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -72,11 +72,18 @@
         }
         let fence = Fence { epoch: owner.epoch, sequence };
         let entries = [record::owner(&owner)];
+        let asked = self.now();
         let appended = self.platform.store().append(Topic::Progress, &entries, Some(fence), end).await;
         match appended {
             Ok(end) => {
-                let sightings = self.read_directory().await.unwrap_or_default();
-                self.become_owner(owner, end, sequence, sightings);
+                let sightings = match self.read_directory().await {
+                    Ok(sightings) => sightings,
+                    Err(error) => {
+                        log::warn!(error:% = error; "the directory of workers is not read yet");
+                        Vec::new()
+                    }
+                };
+                self.become_owner(owner, asked, end, sequence, sightings);
                 Ok(Claim::Taken)
             }
             Err(StoreError::Moved(_)) => Ok(Claim::Behind),
@@ -87,6 +94,7 @@
     fn become_owner(
         &self,
         owner: Owner,
+        asked: u64,
         end: u64,
         sequence: u64,
         sightings: Vec<crate::dispatch::event::Sighting>,
@@ -101,7 +109,7 @@
         let epoch = owner.epoch;
         table.owner = owner;
         let options = self.dispatch.borrow().clone();
-        let mut dispatcher = Dispatcher::new(options, epoch, *table, catalog, now, unix_ms());
+        let mut dispatcher = Dispatcher::new(options, epoch, *table, catalog, now, unix_ms()).claimed(asked);
         dispatcher.set_evacuated(state.evacuated.clone());
         for sighting in sightings {
             dispatcher.sighted(now, sighting);
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -115,7 +115,12 @@
 
     /// Milliseconds of the steady clock.
     fn now(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.millis(Instant::now())
+    }
+
+    /// Milliseconds of the steady clock at a time.
+    fn millis(&self, at: Instant) -> u64 {
+        u64::try_from(at.saturating_duration_since(self.start).as_millis()).unwrap_or(u64::MAX)
     }
 
     async fn watch_ready(self: Rc<Self>) {
--- a/crates/jobs/src/node/own.rs
+++ b/crates/jobs/src/node/own.rs
@@ -201,7 +201,7 @@
             }
             Command::Start(start) => {
                 let behind = self.state.borrow().intake.age(Instant::now()) > BEHIND;
-                let outcome = if behind { Outcome::Unsent } else { workers.start(&start).await };
+                let outcome = if behind { Outcome::Deferred } else { workers.start(&start).await };
                 self.tell(epoch, |d, now| {
                     d.started(now, &start.target.worker, start.task, start.run, outcome);
                 });
--- a/crates/jobs/src/node/work.rs
+++ b/crates/jobs/src/node/work.rs
@@ -107,6 +107,9 @@
             }
         }
         state.intake.advance(page, proof);
+        if let (Some(dispatcher), Some(proof)) = (state.dispatcher(), proof) {
+            dispatcher.intake_read(self.millis(proof));
+        }
     }
 
     /// Applies a change of the intake to the work, and tells the owner's decisions about it.
