Keep shown states while their publication is under way

A caller could see "completed" and, after the owner had stopped in the same 100 ms, "running" again from the same instance. The jobs of a write of summaries were no longer among those to be noted when the work was given up. Found by a reviewer in reading, then with a test.

The states are noted before they are published. A load of the summaries also forgets the last complete read of the intake, as what was read may be gone with it.

--- a/crates/jobs/src/node/summaries.rs
+++ b/crates/jobs/src/node/summaries.rs
@@ -3,6 +3,7 @@
 //! A node that finds no job in the summaries reads the rest of the intake that they do not contain yet. Only if it has
 //! read up to the end that the intake had after the call came in, the job does not exist.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,6 +66,7 @@
         };
         let mut state = self.state.borrow_mut();
         state.summaries.clear_published();
+        state.accepted = None;
         apply_summaries(&mut state, page.entries.iter().map(|(_, entry)| entry));
         state.summary = Cursor::default();
         state.summary.advance(&page, None);
@@ -200,7 +202,8 @@
     async fn publish_changes(&self, publisher: &mut Publisher) {
         let (changed, mut records, taken) = {
             let mut state = self.state.borrow_mut();
-            let changed = std::mem::take(&mut state.unpublished);
+            // Noted before they are published, because the work may be given up meanwhile.
+            let changed = note_unpublished(&mut state);
             let records: Vec<Entry> = changed.iter().filter_map(|id| difference(&state, *id)).collect();
             (changed, records, state.intake.next.unwrap_or(0))
         };
@@ -246,15 +249,18 @@
     Some(record::summary(id, &Summary { queue: job.submission.queue.clone(), shown }))
 }
 
-/// Notes the states that were shown and not published, so that they are still shown when the work is given up.
-pub(super) fn note_unpublished(state: &mut State) {
+/// Notes the states that were shown and not published, so that they are still shown when the work is given up. Returns
+/// their jobs.
+pub(super) fn note_unpublished(state: &mut State) -> BTreeSet<JobId> {
+    let changed = std::mem::take(&mut state.unpublished);
     let offset = state.intake.next.unwrap_or(0);
-    let Role::Owner(dispatcher) = &state.role else { return };
-    for id in std::mem::take(&mut state.unpublished) {
-        let Some(job) = dispatcher.table.get(id) else { continue };
+    let Role::Owner(dispatcher) = &state.role else { return changed };
+    for id in &changed {
+        let Some(job) = dispatcher.table.get(*id) else { continue };
         let summary = Summary { queue: job.submission.queue.clone(), shown: job.shown() };
-        state.summaries.note(offset, id, summary);
+        state.summaries.note(offset, *id, summary);
     }
+    changed
 }
 
 fn apply_summaries<'a>(state: &mut State, entries: impl Iterator<Item = &'a Entry>) {
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -112,10 +112,12 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_state_that_was_shown_does_not_go_back_when_the_owner_stops(
-    #[values(0, 4, 8, 12, 16, 20, 24, 28, 32, 36)] later: u64,
+    #[values(0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 60, 80)] later: u64,
+    #[values(0, 60)] delay_ms: u64,
 ) {
     Cluster::run(2, move |cluster| async move {
         let owner = cluster.owner();
+        cluster.link(owner).set_delay(Duration::from_millis(delay_ms));
         assert_eq!(cluster.call(owner, submit(1, 1)).await, Answer::Accepted(JobId(1)));
         while cluster.call(owner, read(1)).await != Answer::State(Shown::Completed) {
             cluster.settle(1).await;
