--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -1,7 +1,8 @@
 //! Placement: which waiting task goes next, and to which worker.
 //!
 //! Written for surges in which a pool is asked for several times what it holds. Jobs that can still meet their
-//! objective go before those that cannot, and among them the one whose objective is nearest.
+//! objective go before those that cannot, and among them the one whose objective is nearest. The starts that wait for
+//! an answer are bounded, so that the order holds in a backlog too; a job with nothing placed for long goes first then.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
@@ -77,17 +78,15 @@
 }
 
 impl Failed {
-    /// Demand of a step: all its tasks if they run as a gang, and one otherwise.
+    /// Demand of a step.
     fn of(step: &Step) -> Self {
-        let (count, spread) =
-            if step.gang { (step.count, step.spread.unwrap_or(u32::MAX)) } else { (1, u32::MAX) };
+        let (count, spread) = together(step);
         Self { label: step.label.clone(), room: step.room(), count, spread }
     }
 
-    /// True if a demand that is at least as hard to meet fails as well.
+    /// True if the demand of a step is at least as hard to meet.
     fn implies(&self, step: &Step) -> bool {
-        let (count, spread) =
-            if step.gang { (step.count, step.spread.unwrap_or(u32::MAX)) } else { (1, u32::MAX) };
+        let (count, spread) = together(step);
         (self.label.is_none() || self.label == step.label)
             && self.room.fits(step.room())
             && self.count <= count
@@ -95,6 +94,11 @@
     }
 }
 
+/// Tasks of a step that are placed together, and the most of them on one worker.
+fn together(step: &Step) -> (u32, u32) {
+    if step.gang { (step.count, step.spread.unwrap_or(u32::MAX)) } else { (1, u32::MAX) }
+}
+
 /// Pool during one pass.
 #[derive(Debug, Default)]
 struct Room {
