--- a/crates/jobs/src/dispatch/systems/placing.rs
+++ b/crates/jobs/src/dispatch/systems/placing.rs
@@ -2,7 +2,7 @@
 //!
 //! Written for surges in which a pool is asked for several times what it holds. Jobs that can still meet their
 //! objective go before those that cannot, and among them the one whose objective is nearest. The starts that wait for
-//! an answer are bounded, so that the order holds in a backlog too; a job with nothing placed for long goes first then.
+//! an answer are bounded, so that the order holds in a backlog too; in some passes late jobs go first.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
