Let former holders load the work at once after a restart of all

A process loaded the work only once the group listed it, and the group lists members by parts, which the former processes hold until they are forgotten.

A process looks at the holders of before in its first 3 s. If its own instance is among them, or is the last owner, it loads the work without being listed.

Test: a_restart_of_all_is_followed_by_a_claim_within_1_s, with groups that list as many members as there are parts; before: "claimed after 1.56s".

--- a/crates/jobs/src/node/group.rs
+++ b/crates/jobs/src/node/group.rs
@@ -19,6 +19,9 @@
 /// Time for which too few entries must rank higher before an instance loads the work. After an outage of the store the
 /// entries return one by one within this time.
 const SETTLE: Duration = Duration::from_millis(1_200);
+/// Time after the start of a process for which the members of before are looked at. Above the time to live of a holder and
+/// a load of the summaries.
+const RETURN: Duration = Duration::from_secs(3);
 /// Time between two calls to the group of entries. Below a third of the time to live of its members.
 const ENTRY_GAP: Duration = Duration::from_millis(500);
 /// Time for a group to note that this instance leaves.
@@ -88,12 +91,18 @@
         let Ok(entries) = store.members(Group::Entries).await else { return false };
         // A list without this instance is not complete yet.
         let eligible = entries.contains(name) && better(&entries, name) < HOLDERS;
-        if !eligible && !holder {
+        let young = self.start.elapsed() < RETURN;
+        if !eligible && !holder && !young {
             *since = None;
             return true;
         }
         let Ok(holders) = store.members(Group::Holders).await else { return false };
-        let wanted = eligible && better(&holders, name) < HOLDERS;
+        // An instance that held the work before its restart is among the first that are to hold it again. It may not be listed
+        // before the group forgets the former processes.
+        let returns = young
+            && (holders.iter().any(|former| replaces(name, former))
+                || replaces(name, &self.state.borrow().summaries.owner.name));
+        let wanted = returns || eligible && better(&holders, name) < HOLDERS;
         if holder {
             *since = None;
             if better(&entries, name) >= HOLDERS && better(&holders, name) >= HOLDERS {
@@ -105,9 +114,6 @@
             *since = None;
             return true;
         }
-        // An instance that held the work a moment ago is among the first that are to hold it again.
-        let returns = holders.iter().any(|former| replaces(name, former))
-            || replaces(name, &self.state.borrow().summaries.owner.name);
         if returns || since.get_or_insert_with(Instant::now).elapsed() >= SETTLE {
             *since = None;
             self.state.borrow_mut().holder = true;
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -87,6 +87,24 @@
     .await;
 }
 
+/// A restart of all waited until the group had forgotten the former processes, because a new one is not listed before.
+#[tokio::test(start_paused = true)]
+async fn a_restart_of_all_is_followed_by_a_claim_within_1_s() {
+    const NODES: usize = 8;
+    Cluster::run(NODES, |cluster| async move {
+        cluster.settle(2_000).await;
+        cluster.bound_members(NODES);
+        let before = cluster.claims().len();
+        cluster.restart_all();
+        let begun = Instant::now();
+        while cluster.claims().len() == before && begun.elapsed() < Duration::from_secs(30) {
+            cluster.settle(10).await;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(1), "claimed after {:?}", begun.elapsed());
+    })
+    .await;
+}
+
 /// Jobs that no owner had read yet were not counted as waiting.
 #[tokio::test(start_paused = true)]
 async fn jobs_accepted_while_no_owner_reads_the_intake_count_as_pending() {
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -152,6 +152,11 @@
         self.world.borrow_mut().blind.insert(name, topics.iter().copied().collect());
     }
 
+    /// Lets the groups list some members only.
+    pub(crate) fn bound_members(&self, parts: usize) {
+        self.world.borrow_mut().parts = Some(parts);
+    }
+
     /// Adds a queue and a key to the configuration.
     pub(crate) fn configure(&self) {
         let entry = Entry { key: "config".into(), value: vec![2] };
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -60,6 +60,8 @@
 /// What all nodes share.
 #[derive(Default)]
 pub(super) struct World {
+    /// Members that a group lists at most. A new one is listed once a part is free.
+    pub(super) parts: Option<usize>,
     /// Topics that a node cannot read, by the node's name.
     pub(super) blind: BTreeMap<String, BTreeSet<Topic>>,
     pub(super) fault: Fault,
@@ -80,9 +82,15 @@
     /// Members of a group, without those that have been silent for too long.
     fn living(&mut self, group: Group) -> &mut Members {
         let now = Instant::now();
+        let parts = self.parts.unwrap_or(usize::MAX);
         let members = self.groups.entry(group).or_default();
         let count = members.seen.len();
         members.seen.retain(|_, at| *at + time_to_live(group) > now);
+        members.listed.retain(|member| members.seen.contains_key(member));
+        let waiting = members.seen.keys().filter(|member| !members.listed.contains(member));
+        let waiting: Vec<String> =
+            waiting.take(parts.saturating_sub(members.listed.len())).cloned().collect();
+        members.listed.extend(waiting);
         members.generation += u64::from(members.seen.len() < count);
         members
     }
@@ -92,6 +100,8 @@
 #[derive(Default)]
 pub(super) struct Members {
     pub(super) seen: BTreeMap<String, Instant>,
+    /// Members that hold a part, in the order in which they came.
+    pub(super) listed: Vec<String>,
     pub(super) generation: u64,
 }
 
@@ -321,7 +331,7 @@
     }
 
     async fn members(&self, group: Group) -> Result<BTreeSet<String>, StoreError> {
-        self.group(|world| world.living(group).seen.keys().cloned().collect()).await
+        self.group(|world| world.living(group).listed.iter().cloned().collect()).await
     }
 
     async fn leave(&self, group: Group, member: &str) -> Result<(), StoreError> {
