--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -178,6 +178,29 @@
         }
     }
 
+    /// Reads a topic up to the end that it had when the first page was read, because the store answers in pages.
+    ///
+    /// `next` is the offset to read from, and `read` reads a page and returns the end of the topic.
+    pub(super) async fn catch_up(
+        &self,
+        next: impl Fn(&State) -> Option<u64>,
+        read: impl AsyncFn(u64) -> Result<u64, StoreError>,
+    ) -> Result<(), StoreError> {
+        let mut goal = None;
+        loop {
+            let from = next(&self.state.borrow()).ok_or(StoreError::Unknown)?;
+            if goal.is_some_and(|goal| from >= goal) {
+                return Ok(());
+            }
+            let end = read(from).await?;
+            // A page without the record to read next would be asked for again for ever.
+            if next(&self.state.borrow()) == Some(from) && from < end {
+                return Err(StoreError::Unknown);
+            }
+            goal.get_or_insert(end);
+        }
+    }
+
     /// Reads the workers that the directory lists now.
     pub(super) async fn read_directory(&self) -> Result<Vec<Sighting>, StoreError> {
         let page = self.platform.store().newest(Topic::Directory).await?;
--- a/crates/jobs/src/node/summaries.rs
+++ b/crates/jobs/src/node/summaries.rs
@@ -107,8 +107,11 @@
             return true;
         }
         let asked = Instant::now();
-        let read =
-            if self.state.borrow().owns() { self.catch_up_intake().await } else { self.read_tail().await };
+        let read = if self.state.borrow().owns() {
+            self.catch_up_intake().await
+        } else {
+            self.catch_up_tail().await
+        };
         if read.is_ok() {
             self.state.borrow_mut().accepted = Some(asked);
         }
@@ -116,33 +119,23 @@
     }
 
     /// Reads the part of the intake that the summaries do not contain yet.
-    async fn read_tail(&self) -> Result<(), StoreError> {
-        let mut goal = None;
-        loop {
-            let from = {
-                let state = self.state.borrow();
-                // After a load, the offset of the intake may be newer than the states.
-                if state.summary.fresh.is_none() {
-                    return Err(StoreError::Unknown);
-                }
-                state.tail.max(state.summaries.taken())
-            };
-            if goal.is_some_and(|goal| from >= goal) {
-                return Ok(());
-            }
-            let page = self.platform.store().read(Topic::Intake, from, Duration::ZERO).await?;
-            if page.next == from && !page.complete() {
-                return Err(StoreError::Unknown);
-            }
-            goal.get_or_insert(page.end);
-            let mut state = self.state.borrow_mut();
-            for (offset, entry) in &page.entries {
-                if let Some(intake) = decode_intake(entry) {
-                    state.summaries.take_in(*offset, &intake);
-                }
+    async fn catch_up_tail(&self) -> Result<(), StoreError> {
+        // After a load, the offset of the intake may be newer than the states.
+        let next = |state: &State| state.summary.fresh.map(|_| state.tail.max(state.summaries.taken()));
+        self.catch_up(next, async |from| self.read_tail_from(from).await).await
+    }
+
+    /// Reads records of the intake that the summaries do not contain yet. Returns the end of the topic.
+    async fn read_tail_from(&self, from: u64) -> Result<u64, StoreError> {
+        let page = self.platform.store().read(Topic::Intake, from, Duration::ZERO).await?;
+        let mut state = self.state.borrow_mut();
+        for (offset, entry) in &page.entries {
+            if let Some(intake) = decode_intake(entry) {
+                state.summaries.take_in(*offset, &intake);
             }
-            state.tail = state.tail.max(page.next);
         }
+        state.tail = state.tail.max(page.next);
+        Ok(page.end)
     }
 
     /// Writes the states of jobs while this node owns the work.
@@ -184,18 +177,8 @@
 
     /// Reads the summaries up to the end that they have now.
     async fn catch_up_summaries(&self) -> Result<(), StoreError> {
-        let mut goal = None;
-        loop {
-            let from = self.state.borrow().summary.next.ok_or(StoreError::Unknown)?;
-            if goal.is_some_and(|goal| from >= goal) {
-                return Ok(());
-            }
-            let end = self.read_summaries_from(from, Duration::ZERO).await?;
-            if self.state.borrow().summary.next == Some(from) && from < end {
-                return Err(StoreError::Unknown);
-            }
-            goal.get_or_insert(end);
-        }
+        let read = async |from| self.read_summaries_from(from, Duration::ZERO).await;
+        self.catch_up(|state| state.summary.next, read).await
     }
 
     /// Writes the states that have changed, and how far the intake is part of them.
--- a/crates/jobs/src/node/work.rs
+++ b/crates/jobs/src/node/work.rs
@@ -187,36 +187,16 @@
         state.progress.advance(page, proof);
     }
 
-    /// Reads the intake up to the end that it has now. The store may answer in pages.
+    /// Reads the intake up to the end that it has now.
     pub(super) async fn catch_up_intake(&self) -> Result<(), StoreError> {
-        let mut goal = None;
-        loop {
-            let from = self.state.borrow().intake.next.ok_or(StoreError::Unknown)?;
-            if goal.is_some_and(|goal| from >= goal) {
-                return Ok(());
-            }
-            let end = self.read_intake_from(from, Duration::ZERO).await?;
-            if self.state.borrow().intake.next == Some(from) && from < end {
-                return Err(StoreError::Unknown);
-            }
-            goal.get_or_insert(end);
-        }
+        let read = async |from| self.read_intake_from(from, Duration::ZERO).await;
+        self.catch_up(|state| state.intake.next, read).await
     }
 
     /// Reads the progress up to the end that it has now.
     pub(super) async fn catch_up_progress(&self) -> Result<(), StoreError> {
-        let mut goal = None;
-        loop {
-            let from = self.state.borrow().progress.next.ok_or(StoreError::Unknown)?;
-            if goal.is_some_and(|goal| from >= goal) {
-                return Ok(());
-            }
-            let end = self.read_progress_from(from, Duration::ZERO).await?;
-            if self.state.borrow().progress.next == Some(from) && from < end {
-                return Err(StoreError::Unknown);
-            }
-            goal.get_or_insert(end);
-        }
+        let read = async |from| self.read_progress_from(from, Duration::ZERO).await;
+        self.catch_up(|state| state.progress.next, read).await
     }
 
     /// Drops work that can't be followed any further, so that it is loaded anew.
