Refuse jobs whose records the store does not take

A caller who handed in a job of thousands of tasks was told that it was accepted, and from then on no job of anybody moved: the record of its progress was larger than the store takes, the write was refused for ever, and so at each successor.

A job is checked against the largest record of the settings when it arrives: 96 bytes for each task, and the record of the submission itself. A larger one is answered as malformed, with the reason. Repeated jobs whose occurrences overlap add up and are not covered.

Test: a_job_too_large_for_the_store_does_not_stop_the_others; before, the small job beside it was still queued after 8 s.

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -14,7 +14,7 @@
 use crate::ids::JobId;
 use crate::ports::Platform;
 use crate::record;
-use crate::spec::Submission;
+use crate::spec::{BadJob, Submission};
 use crate::table::Shown;
 
 /// Time for an answer to reach the caller before it gives up.
@@ -146,11 +146,15 @@
         if !self.state.borrow().fresh(Instant::now(), self.options.stale) {
             return Answer::Refused(Refusal::Stale, STORE_RETRY_S);
         }
-        if let Err(bad) = submission.check() {
+        if let Err(bad) = submission.check(self.options.record_bytes) {
             return Answer::Bad(bad);
         }
+        let entry = record::submitted(&submission);
+        if entry.size() > self.options.record_bytes {
+            return Answer::Bad(BadJob::Large);
+        }
         let begun = Instant::now();
-        let stored = self.store_intake(record::submitted(&submission), deadline).await;
+        let stored = self.store_intake(entry, deadline).await;
         let took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
         log::info!(
             job:% = id, queue = queue.name.as_str(), team = submission.team.as_deref().unwrap_or(""),
--- a/crates/jobs/src/node/options/mod.rs
+++ b/crates/jobs/src/node/options/mod.rs
@@ -21,6 +21,8 @@
     pub stop: Duration,
     /// Most bytes of one append.
     pub append_bytes: usize,
+    /// Most bytes of one record. A job that needs more is refused, as its progress could not be stored.
+    pub record_bytes: usize,
     /// Settings of the owner's decisions.
     pub dispatch: DispatchOptions,
 }
@@ -37,6 +39,7 @@
             stale: Duration::from_millis(1_300),
             stop: Duration::from_secs(3),
             append_bytes: 1 << 20,
+            record_bytes: 256 << 10,
             dispatch: DispatchOptions::default(),
         }
     }
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -14,6 +14,8 @@
 pub const MAX_TASKS: u32 = 1_000;
 /// Longest payload, in bytes. From the interface of the callers.
 pub const MAX_PAYLOAD: usize = 4_000;
+/// Bytes of a task in a record of the progress, at most: its state with the id of a worker, numbers and a checkpoint.
+const TASK_BYTES: usize = 96;
 
 /// Amounts of each resource.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -182,15 +184,18 @@
     /// The payload is too long.
     #[error("the payload is longer than {MAX_PAYLOAD} bytes")]
     Payload,
+    /// A record of the job or of its progress would be larger than the store takes.
+    #[error("the job has more tasks or a longer description than the store keeps")]
+    Large,
 }
 
 impl Submission {
-    /// Checks counts, sizes and the order of steps.
+    /// Checks counts, sizes and the order of steps, for a store that takes records of some bytes.
     ///
     /// # Errors
     ///
     /// Names the first problem.
-    pub fn check(&self) -> Result<(), BadJob> {
+    pub fn check(&self, record_bytes: usize) -> Result<(), BadJob> {
         if self.steps.is_empty() {
             return Err(BadJob::NoSteps);
         }
@@ -208,6 +213,9 @@
                 return Err(BadJob::Order);
             }
         }
+        if self.tasks() * TASK_BYTES > record_bytes {
+            return Err(BadJob::Large);
+        }
         Ok(())
     }
 
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -304,3 +304,17 @@
     })
     .await;
 }
+
+/// One job whose progress the store does not take as a record kept all later writes from being stored.
+#[tokio::test(start_paused = true)]
+async fn a_job_too_large_for_the_store_does_not_stop_the_others() {
+    Cluster::run(2, |cluster| async move {
+        // Its progress has more bytes than an append of the stand-in may have.
+        let large = cluster.call(0, submit(1, 600)).await;
+        assert!(matches!(cluster.call(0, submit(2, 1)).await, Answer::Accepted(_)));
+        cluster.settle(8_000).await;
+        let small = cluster.call(0, read(2)).await;
+        assert_eq!(small, Answer::State(Shown::Completed), "the large job was answered with {large:?}");
+    })
+    .await;
+}
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -21,6 +21,9 @@
 use super::store::{APPEND_BYTES, Fault, Memory, PAGE_BYTES, World};
 use super::workers::Worker;
 
+/// Most bytes of a record. Tasks take less than half of what the product reserves for each, so that such a record still fits
+/// into an append.
+const RECORD_BYTES: usize = 3_000;
 /// Workers.
 const WORKERS: usize = 3;
 
@@ -79,7 +82,8 @@
         let (begun, used) = (self.begun, Rc::clone(&link));
         let platform = Memory { name: name.clone(), world, grown, begun, dead: Rc::clone(&dead), link: used };
         let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
-        let options = Options { append_bytes: APPEND_BYTES, ..Options::new(name.clone()) };
+        let options =
+            Options { append_bytes: APPEND_BYTES, record_bytes: RECORD_BYTES, ..Options::new(name.clone()) };
         let node = Node::new(platform, options, handle.clone());
         let stop = Rc::new(Notify::new());
         let stopped = Rc::clone(&stop);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -415,3 +415,19 @@
     late.tick(now);
     assert_eq!(late.counters.looks, 2);
 }
+
+/// A job whose progress was dropped while its submission stayed was taken for a new one and ran again.
+#[test]
+fn a_job_that_was_dropped_in_part_does_not_run_again() {
+    let mut world = World::new(1);
+    world.submit(job(1, vec![step(1, cores(1), 300)]));
+    world.play(2_000);
+    assert_eq!(world.shown(1), Some(Shown::Completed));
+    world.play(151_000);
+    assert_eq!(world.shown(1), None);
+    world.stored.retain(|_, entry| !entry.value.is_empty());
+    // The append that drops the submission failed, or its writer was killed before it.
+    world.take_over();
+    world.play(3_000);
+    assert_eq!(world.starts.len(), 1, "shown as {:?}", world.shown(1));
+}
