Take jobs for some seconds without the operators' records

Change: an instance with an old view denies nothing and leaves the rotation, but takes calls for the queues and keys that it knows. After 8 s it refuses all, because keys may have been withdrawn.

Test: jobs_are_taken_for_some_seconds_without_the_operators_records; before, the first call after 6 s was refused as stale (the condition was refused above 1.7 s).

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Answer, Call, Draft, Message, Refusal, Verb};
-use super::state::{STALE_CONFIG, Stored};
+use super::state::{EXPIRED_CONFIG, STALE_CONFIG, Stored};
 use super::{Node, unix_ms};
 use crate::catalog::Queue;
 use crate::ids::JobId;
@@ -94,13 +94,13 @@
             return Err(Answer::Refused(Refusal::Unconfigured, START_RETRY_S));
         };
         let now = Instant::now();
-        let old = state.operator_age(now) >= STALE_CONFIG;
+        let age = state.operator_age(now);
         let stale = Answer::Refused(Refusal::Stale, STORE_RETRY_S);
-        // An instance that reaches nothing answers with what it knows; one that misses only the configuration does not.
-        if old && state.age(now) < self.options.stale {
+        // An instance that reaches nothing answers with what it knows; one that misses only the configuration does for a while.
+        if age >= EXPIRED_CONFIG && state.age(now) < self.options.stale {
             return Err(stale);
         }
-        let unless_old = |answer| if old { stale } else { answer };
+        let unless_old = |answer| if age >= STALE_CONFIG { stale } else { answer };
         let (queue, rest) = catalog.route(&call.host, &call.path).ok_or(unless_old(Answer::NoQueue))?;
         let holder = call.key.as_deref().and_then(|key| catalog.holder(key));
         if holder.is_none() && !queue.open {
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -16,9 +16,12 @@
 use crate::summary::Summaries;
 use crate::table::{Job, Shown, Table};
 
-/// Age of the view of the configuration above which calls are refused. Above the wait of a read, below the time in which
-/// a change is to be in force.
+/// Age of the view of the configuration above which nothing is denied by it and the instance leaves the rotation. Above the
+/// wait of a read, below the time in which a change is to be in force.
 pub(super) const STALE_CONFIG: Duration = Duration::from_millis(1_700);
+/// Age of the view of the configuration above which an instance that reads the rest refuses all calls, because keys may have
+/// been withdrawn. Above an outage of the operators' records of some seconds.
+pub(super) const EXPIRED_CONFIG: Duration = Duration::from_secs(8);
 
 /// What this node knows of the work besides the states of jobs.
 #[derive(Debug, Default)]
@@ -194,11 +197,11 @@
 
     /// True if calls can be answered.
     pub(super) fn ready(&self, now: Instant, stale: Duration) -> bool {
-        self.fresh(now, stale) && !self.stopping
+        self.fresh(now, stale) && self.operator_age(now) < STALE_CONFIG && !self.stopping
     }
 
-    /// True if the views of jobs and of the configuration are fresh.
+    /// True if the view of jobs is fresh.
     pub(super) fn fresh(&self, now: Instant, stale: Duration) -> bool {
-        self.catalog.is_some() && self.age(now) < stale && self.operator_age(now) < STALE_CONFIG
+        self.catalog.is_some() && self.age(now) < stale
     }
 }
--- a/crates/jobs/tests/views.rs
+++ b/crates/jobs/tests/views.rs
@@ -332,6 +332,23 @@
     .await;
 }
 
+/// An outage of the operators' records alone kept every instance from taking jobs, and none took a withdrawn key for ever.
+#[tokio::test(start_paused = true)]
+async fn jobs_are_taken_for_some_seconds_without_the_operators_records() {
+    Cluster::run(2, |cluster| async move {
+        for node in 0..2 {
+            cluster.blind(node, &[Topic::Operator]);
+        }
+        cluster.settle(6_000).await;
+        assert!(matches!(cluster.call(0, submit(1, 1)).await, Answer::Accepted(_)));
+        cluster.settle(2_000).await;
+        assert_eq!(cluster.call(1, read(1)).await, Answer::State(Shown::Completed));
+        cluster.settle(2_000).await;
+        assert!(matches!(cluster.call(0, submit(2, 1)).await, Answer::Refused(..)));
+    })
+    .await;
+}
+
 /// A load of the states forgot what the node had read of the intake, but not that it had read it.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_was_known_is_known_after_the_states_are_loaded_again() {
