Prove a load fresh without waiting for a record

Cause: since a load makes no view fresh, readiness waits for the read that follows it, and that read waited for a record, up to 0.9 s for the operators' topic.

Change: the read after a load does not wait.

Test: a_node_is_ready_within_300_ms_of_its_start; it failed before.

--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -30,11 +30,16 @@
     pub(super) async fn follow_operator(self: Rc<Self>) {
         let mut wait = OPERATOR_WAIT;
         loop {
-            let next = self.state.borrow().operator.next;
-            let (asked, waited) = (Instant::now(), wait);
+            let (next, fresh) = {
+                let state = self.state.borrow();
+                (state.operator.next, state.operator.fresh.is_some())
+            };
+            // The read after a load proves that nothing was written meanwhile; it is not to wait for a record.
+            let waited = if fresh { wait } else { Duration::ZERO };
+            let asked = Instant::now();
             let page = match next {
                 None => self.platform.store().newest(Topic::Operator).await,
-                Some(from) => self.platform.store().read(Topic::Operator, from, wait).await,
+                Some(from) => self.platform.store().read(Topic::Operator, from, waited).await,
             };
             wait = wait_after(&page, OPERATOR_WAIT);
             match page {
--- a/crates/jobs/src/node/summaries.rs
+++ b/crates/jobs/src/node/summaries.rs
@@ -43,12 +43,16 @@
     pub(super) async fn follow_summaries(self: Rc<Self>) {
         let mut wait = WAIT;
         loop {
-            let next = self.state.borrow().summary.next;
+            let (next, fresh) = {
+                let state = self.state.borrow();
+                (state.summary.next, state.summary.fresh.is_some())
+            };
             let Some(from) = next else {
                 self.load_summaries().await;
                 continue;
             };
-            let read = self.read_summaries_from(from, wait).await;
+            // The read after a load proves that nothing was written meanwhile; it is not to wait for a record.
+            let read = self.read_summaries_from(from, if fresh { wait } else { Duration::ZERO }).await;
             wait = wait_after(&read, WAIT);
             match read {
                 Ok(end) if self.state.borrow().summary.next.is_some_and(|next| next < end) => {}
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -105,6 +105,17 @@
     .await;
 }
 
+/// A process that had loaded all it needs waited for a new record before it took calls.
+#[tokio::test(start_paused = true)]
+async fn a_node_is_ready_within_300_ms_of_its_start() {
+    Cluster::run(3, |cluster| async move {
+        cluster.restart_all();
+        cluster.settle(300).await;
+        assert!((0..3).all(|node| cluster.ready(node)));
+    })
+    .await;
+}
+
 /// Jobs that no owner had read yet were not counted as waiting.
 #[tokio::test(start_paused = true)]
 async fn jobs_accepted_while_no_owner_reads_the_intake_count_as_pending() {
