Delete the progress of an ended job only after its submission

Cause: 150 s after a job's end the owner deleted the job's progress and its submission in two appends, progress first. If the second failed or the process was killed between them, the next owner found a submission without progress and ran the job again. Ruled out: one append for both, because they are two topics. A new owner deletes the progress of ended jobs that have no submission any more. The simulated world now really deletes submissions, so the first test states the failed append by a switch of its own instead of by a world that never deletes: same check, same bound.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -141,6 +141,8 @@
     intake_until: u64,
     /// Jobs removed since the last call of [`Self::take_dropped`].
     dropped: Vec<JobId>,
+    /// Removed jobs whose records could not be deleted from the intake.
+    undeleted: Vec<JobId>,
     /// Lateness of the jobs that completed since the last call, in milliseconds.
     lateness: Vec<u64>,
     /// Time of day minus local time, in milliseconds.
@@ -198,6 +200,7 @@
             last_sweep: 0,
             intake_until: 0,
             dropped: Vec::new(),
+            undeleted: Vec::new(),
             lateness: Vec::new(),
             unix_offset: 0,
             wall_clock: unix_ms,
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -58,24 +58,40 @@
     }
 
     /// Removes ended jobs whose retention is over.
+    ///
+    /// The record of their progress stays until their submission is deleted from the intake. Without it the next
+    /// owner would take the submission for a new job.
     pub(in super::super) fn drop_ended(&mut self, now: u64) {
         if now < self.last_sweep + SWEEP_INTERVAL_MS {
             return;
         }
         self.last_sweep = now;
+        self.dropped.append(&mut self.undeleted);
         let keep = self.options.retention_ms;
         let old = |track: &super::super::Track| track.ended.is_some_and(|at| at + keep < now);
-        let ids: Vec<JobId> = self.tracks.iter().filter(|(_, t)| old(t)).map(|(id, _)| *id).collect();
+        let stored = |id| self.table.get(id).is_none_or(|job| job.state().ended());
+        let tracks = self.tracks.iter().filter(|(id, track)| old(track) && stored(**id));
+        let ids: Vec<JobId> = tracks.map(|(id, _)| *id).collect();
         for id in ids {
             self.tracks.remove(&id);
             self.table.remove(id);
-            self.dirty_jobs.insert(id);
+            self.dirty_jobs.remove(&id);
             self.dropped.push(id);
         }
     }
 
-    /// Jobs removed since the last call, whose records in the intake can be dropped.
+    /// Jobs whose records in the intake are to be deleted, since the last call.
     pub fn take_dropped(&mut self) -> Vec<JobId> {
         std::mem::take(&mut self.dropped)
     }
+
+    /// Handles whether the records of jobs were deleted from the intake. If not, that is repeated with the next
+    /// sweep.
+    pub fn intake_deleted(&mut self, jobs: Vec<JobId>, stored: bool) {
+        if stored {
+            self.dirty_jobs.extend(jobs);
+        } else {
+            self.undeleted.extend(jobs);
+        }
+    }
 }
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -19,6 +19,8 @@
             self.track(now, id);
             self.adopt_job(now, id);
         }
+        // The former owner deleted their submissions and had no time to delete their progress.
+        self.dirty_jobs.extend(self.table.take_ended_orphans());
         log::info!(
             epoch = self.epoch, jobs = self.tracks.len(), workers = self.workers.len();
             "this instance owns the work"
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -165,6 +165,7 @@
 
     /// Deletes the intake records of ended jobs whose retention period is over.
     async fn delete_intake(self: Rc<Self>, jobs: Vec<crate::ids::JobId>) {
+        let Some(epoch) = self.epoch() else { return };
         self.state.borrow_mut().unpublished.extend(&jobs);
         let empty = |key: String| Entry { key, value: Vec::new() };
         let entries: Vec<Entry> =
@@ -173,12 +174,13 @@
         while !rest.is_empty() {
             let (part, later) = rest.split_at(count_fitting(rest, self.options.append_bytes));
             if let Err(error) = self.platform.store().append(Topic::Intake, part, None, None).await {
-                // The records remain until the next owner deletes them.
                 log::warn!(error:% = error, records = rest.len(); "records of ended jobs could not be deleted");
+                self.notify_dispatcher(epoch, |d, _| d.intake_deleted(jobs, false));
                 return;
             }
             rest = later;
         }
+        self.notify_dispatcher(epoch, |d, _| d.intake_deleted(jobs, true));
     }
 
     /// Passes an event to the scheduler if this node is still the owner in the same epoch.
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -178,6 +178,16 @@
         self.canceled.remove(&id);
     }
 
+    /// Removes the progress of ended jobs without a submission and returns their ids. Meaningful only once the intake
+    /// was read to its end.
+    pub fn take_ended_orphans(&mut self) -> Vec<JobId> {
+        let (active, ended) = std::mem::take(&mut self.early)
+            .into_iter()
+            .partition(|(_, progress)| progress.phase == Phase::Active);
+        self.early = active;
+        BTreeMap::into_keys(ended).collect()
+    }
+
     /// Number of jobs in each queue that have not started, by stored progress.
     #[must_use]
     pub fn pending(&self) -> BTreeMap<&str, u64> {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -88,6 +88,8 @@
     pub(crate) canceled: Vec<JobId>,
     /// True while the store accepts no writes.
     pub(crate) down: bool,
+    /// True while the store deletes nothing from the intake.
+    pub(crate) keeps_intake: bool,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) starts: Vec<(u64, TaskId, u32, String)>,
     pub(crate) polls: Vec<(u64, Poll)>,
@@ -225,6 +227,7 @@
             submissions: Vec::new(),
             canceled: Vec::new(),
             down: false,
+            keeps_intake: false,
             catalog,
             starts: Vec::new(),
             polls: Vec::new(),
@@ -385,6 +388,7 @@
             self.store(&write);
             self.dispatcher.stored(self.now, &write);
         }
+        self.delete_intake();
         for command in self.dispatcher.take_commands() {
             match command {
                 Command::Start(start) if self.send_limit.is_some() => self.unsent.push_back(start),
@@ -412,6 +416,17 @@
         self.delayed = false;
     }
 
+    /// Deletes the submissions and cancellations that the dispatcher no longer needs, if the store can.
+    fn delete_intake(&mut self) {
+        let dropped = self.dispatcher.take_dropped();
+        let deleted = !self.down && !self.keeps_intake;
+        if deleted {
+            self.submissions.retain(|submission| !dropped.contains(&submission.id));
+            self.canceled.retain(|id| !dropped.contains(id));
+        }
+        self.dispatcher.intake_deleted(dropped, deleted);
+    }
+
     /// Delays a command if delays are on. True if it gets no answer now.
     fn postpone(&mut self, command: &Command) -> bool {
         let Some(delay) = self.delay else { return false };
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -433,11 +433,42 @@
     world.submit(job(1, vec![step(1, cores(1), 300)]));
     world.run_for(2_000);
     assert_eq!(world.state(1), Some(JobState::Completed));
+    // The append that drops the submission fails, or the process is killed before it.
+    world.keeps_intake = true;
     world.run_for(151_000);
     assert_eq!(world.state(1), None);
     world.stored.retain(|_, entry| !entry.value.is_empty());
-    // The append that drops the submission failed, or the process was killed before it.
     world.take_over();
     world.run_for(3_000);
     assert_eq!(world.starts.len(), 1, "shown as {:?}", world.state(1));
 }
+
+/// Guards against records that stay forever once the deletion of a submission has failed.
+#[test]
+fn the_records_of_a_dropped_job_are_deleted_once_the_store_takes_it() {
+    let mut world = World::new(1);
+    world.submit(job(1, vec![step(1, cores(1), 300)]));
+    world.keeps_intake = true;
+    world.run_for(155_000);
+    assert_eq!(world.submissions.len(), 1);
+    assert!(world.stored.values().any(|entry| entry.key == JobId(1).to_string() && !entry.value.is_empty()));
+    world.keeps_intake = false;
+    world.run_for(2_000);
+    assert!(world.submissions.is_empty());
+    assert!(world.stored.values().all(|entry| entry.value.is_empty()), "{:?}", world.stored);
+}
+
+/// An owner that was killed between the two deletions leaves progress without a submission.
+#[test]
+fn a_new_owner_deletes_the_progress_of_ended_jobs_without_a_submission() {
+    let mut world = World::new(1);
+    world.submit(job(1, vec![step(1, cores(1), 300)]));
+    world.submit(job(2, vec![step(1, cores(1), 30_000)]));
+    world.run_for(2_000);
+    world.submissions.retain(|submission| submission.id == JobId(2));
+    world.take_over();
+    world.run_for(1_000);
+    let kept: Vec<&String> = world.stored.values().filter(|e| !e.value.is_empty()).map(|e| &e.key).collect();
+    assert_eq!(kept, [&JobId(2).to_string()]);
+    assert_eq!(world.running(), [support::task(2, 0, 0)]);
+}
