--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -24,8 +24,8 @@
 use crate::table::{Phase, Table};
 use command::Command;
 use options::Options;
-pub use systems::WaveProgress;
 use systems::{Fleet, PolicyTickets};
+pub use systems::{PoolLoad, WaveProgress};
 use worker::{PollState, Worker, WorkerKey};
 
 /// Sequence number of a write, from 1.
@@ -137,6 +137,8 @@
     scheduled: BTreeSet<JobId>,
     /// Time of the last search for ended jobs whose retention is over.
     last_sweep: u64,
+    /// Time of the last log lines about the load of the pools.
+    last_load: u64,
     /// Time up to which all accepted jobs and cancellations are known.
     intake_until: u64,
     /// Jobs removed since the last call of [`Self::take_dropped`].
@@ -198,6 +200,7 @@
             next_pass: 0,
             scheduled: BTreeSet::new(),
             last_sweep: 0,
+            last_load: 0,
             intake_until: 0,
             dropped: Vec::new(),
             undeleted: Vec::new(),
@@ -291,6 +294,7 @@
         self.place_tasks(now);
         self.poll_workers(now);
         self.drop_ended(now);
+        self.log_load(now);
     }
 
     /// Commands issued since the last call.
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -165,7 +165,8 @@
         waiting
     }
 
-    fn pool_of<'a>(&'a self, submission: &'a Submission) -> &'a str {
+    /// Pool that runs a job.
+    pub(in super::super) fn pool_of<'a>(&'a self, submission: &'a Submission) -> &'a str {
         let queue = self.queue(&submission.queue);
         queue.map_or(submission.terms.pool.as_str(), |queue| queue.terms.pool.as_str())
     }
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod jobs;
 mod leases;
+mod load;
 mod orders;
 mod placing;
 mod policy;
@@ -15,4 +16,5 @@
 
 pub(super) use fleet::Fleet;
 pub use fleet::WaveProgress;
+pub use load::PoolLoad;
 pub(super) use policy::PolicyTickets;
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod follow;
 mod intake;
+mod load;
 mod membership;
 pub mod options;
 mod owner;
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -6,6 +6,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::load::OwnerLoad;
 use super::{Node, unix_ms};
 use crate::dispatch::command::Command;
 use crate::dispatch::event::Outcome;
@@ -34,11 +35,13 @@
     pub(super) async fn run_owner(self: Rc<Self>) {
         let mut writing: Option<tokio::task::JoinHandle<()>> = None;
         let mut counted = (0, Counters::default());
+        let mut load = OwnerLoad::new(Counters::default());
         let mut outage_since = None;
         loop {
             // A timeout is the regular tick.
             let _ = timeout(TICK_INTERVAL, self.owner_wakeup.notified()).await;
             let now = self.now();
+            let begun = Instant::now();
             let idle = writing.as_ref().is_none_or(tokio::task::JoinHandle::is_finished);
             let (commands, write, dropped, fenced) = {
                 let mut state = self.state.borrow_mut();
@@ -47,6 +50,7 @@
                 dispatcher.tick(now);
                 if counted.0 != dispatcher.epoch() {
                     counted = (dispatcher.epoch(), Counters::default());
+                    load = OwnerLoad::new(Counters::default());
                 }
                 self.handle.meters.decided(&counted.1, &dispatcher.counters);
                 counted.1 = dispatcher.counters;
@@ -55,6 +59,8 @@
                 let dropped = dispatcher.take_dropped();
                 (dispatcher.take_commands(), write, dropped, dispatcher.fenced_out())
             };
+            load.add(begun, write.as_ref(), commands.len());
+            load.log(counted.1);
             if fenced {
                 self.step_down("a worker or the store knows a newer owner");
                 continue;
