Find a worker by an index of free processor instead of examining all

Each of 256 placements examined all 850 workers of the pool, and the interval between passes grows with the workers examined: 7 or 8 passes a second. Ruled out: room (22% of the pool was used), the store (writes went out 35 times a second), unanswered starts (0 to 50 of 256). Change: workers of a pool are ranked by failures and free processor once a pass and looked up in that order, by label and rack too. What a job waits for is computed when the job changes, not in each pass; runs are found by task; ended jobs leave the list of active ones; orders without an outcome are kept in a set; pools and teams have keys in place of names.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -8,23 +8,25 @@
 
 pub mod command;
 pub mod event;
+mod names;
 pub mod options;
 mod systems;
 pub mod worker;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use slotmap::SlotMap;
+use slotmap::{KeyData, SecondaryMap, SlotMap};
 
-use crate::catalog::{Catalog, Queue};
+use crate::catalog::{Catalog, Queue, Team};
 use crate::ids::{JobId, TaskId};
 use crate::record::{self, Entry, progress};
 use crate::spec::Resources;
 use crate::table::{Phase, Table};
 use command::Command;
+use names::{Names, PoolKey, TeamKey};
 use options::Options;
-use systems::{Fleet, PolicyTickets};
+use systems::{Fleet, PolicyTickets, StaleJobs, Track};
 pub use systems::{PoolLoad, WaveProgress};
 use worker::{PollState, Worker, WorkerKey};
 
@@ -79,15 +81,13 @@
     pub failed: u64,
 }
 
-/// Data about a job that is not stored with its progress.
-#[derive(Clone, Copy, Debug)]
-struct Track {
-    /// Time by which the job should complete.
-    objective: u64,
-    /// Time at which the job ended.
-    ended: Option<u64>,
-    /// True once a failed run of the job was counted against a worker.
-    failure_counted: bool,
+/// Use of the fleet by a team.
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamUsage {
+    /// Resources that its runs use.
+    used: Resources,
+    /// Number of its active jobs.
+    jobs: u64,
 }
 
 /// State machine of the owner. Times are milliseconds of the process's monotonic clock, unless they are given
@@ -99,15 +99,24 @@
     /// Jobs with their progress.
     pub table: Table,
     catalog: Arc<Catalog>,
-    /// Positions of the queues in the catalog, by name.
-    queues: HashMap<String, usize>,
+    index: Arc<CatalogIndex>,
+    pools: Names<PoolKey>,
+    teams: Names<TeamKey>,
     evacuated: BTreeSet<String>,
     workers: SlotMap<WorkerKey, Worker>,
     keys_by_id: BTreeMap<String, WorkerKey>,
-    /// Resources that the runs of each team use.
-    team_usage: BTreeMap<String, Resources>,
+    /// Runs on all workers, by task.
+    placed: BTreeSet<(TaskId, WorkerKey)>,
+    /// Runs whose last order may have no outcome yet.
+    unsettled: BTreeSet<(WorkerKey, TaskId)>,
+    team_usage: SecondaryMap<TeamKey, TeamUsage>,
+    /// Active jobs.
     tracks: BTreeMap<JobId, Track>,
+    /// Ended jobs with the time of their end, oldest first.
+    ended: VecDeque<(u64, JobId)>,
+    /// Jobs whose progress is not part of a write yet.
     dirty_jobs: BTreeSet<JobId>,
+    stale_jobs: StaleJobs,
     dirty_waves: BTreeSet<u64>,
     /// True if the owner's record is to be written again. The store refuses that write if there is a newer
     /// owner.
@@ -177,14 +186,20 @@
             options,
             epoch,
             table,
-            queues: positions(&catalog),
+            index: Arc::new(CatalogIndex::new(&catalog)),
+            pools: Names::default(),
+            teams: Names::default(),
             catalog,
             evacuated: BTreeSet::new(),
             workers: SlotMap::with_key(),
             keys_by_id: BTreeMap::new(),
-            team_usage: BTreeMap::new(),
+            placed: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
+            team_usage: SecondaryMap::new(),
             tracks: BTreeMap::new(),
+            ended: VecDeque::new(),
             dirty_jobs: BTreeSet::new(),
+            stale_jobs: StaleJobs::default(),
             dirty_waves: BTreeSet::new(),
             owner_dirty: false,
             dirty_orders: BTreeSet::new(),
@@ -274,8 +289,12 @@
 
     /// Replaces the configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
-        self.queues = positions(&catalog);
+        if Arc::ptr_eq(&self.catalog, &catalog) {
+            return;
+        }
+        self.index = Arc::new(CatalogIndex::new(&catalog));
         self.catalog = catalog;
+        self.refresh_terms();
         self.unchanged = false;
     }
 
@@ -290,6 +309,7 @@
         self.begin_occurrences(now);
         self.expire_leases(now);
         self.send_due_orders(now);
+        self.refresh_backlogs();
         self.run_fleet(now);
         self.place_tasks(now);
         self.poll_workers(now);
@@ -395,19 +415,46 @@
 
     /// Queue with a name.
     fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.get(name).and_then(|&position| self.catalog.queues.get(position))
+        self.index.queues.get(name).and_then(|&position| self.catalog.queues.get(position))
+    }
+
+    /// Team with a name.
+    fn team(&self, name: &str) -> Option<&Team> {
+        self.index.teams.get(name).and_then(|&position| self.catalog.teams.get(position))
     }
 
     fn worker_key(&self, id: &str) -> Option<WorkerKey> {
         self.keys_by_id.get(id).copied()
     }
+
+    /// Runs of a range of tasks, with their workers.
+    fn placed_runs(&self, first: TaskId, last: TaskId) -> impl Iterator<Item = (TaskId, WorkerKey)> {
+        let (lowest, highest) = (KeyData::from_ffi(0).into(), KeyData::from_ffi(u64::MAX).into());
+        self.placed.range((first, lowest)..=(last, highest)).copied()
+    }
+}
+
+/// Positions in a catalog, by name.
+#[derive(Debug)]
+struct CatalogIndex {
+    queues: BTreeMap<String, usize>,
+    teams: BTreeMap<String, usize>,
+}
+
+impl CatalogIndex {
+    fn new(catalog: &Catalog) -> Self {
+        Self {
+            queues: positions(catalog.queues.iter().map(|queue| &queue.name)),
+            teams: positions(catalog.teams.iter().map(|team| &team.name)),
+        }
+    }
 }
 
-/// Positions of the queues in a catalog, by name. If several have the same name, the first one counts.
-fn positions(catalog: &Catalog) -> HashMap<String, usize> {
-    let mut positions = HashMap::with_capacity(catalog.queues.len());
-    for (position, queue) in catalog.queues.iter().enumerate() {
-        positions.entry(queue.name.clone()).or_insert(position);
+/// Positions of names in a list. If several are the same, the first one counts.
+fn positions<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
+    let mut positions = BTreeMap::new();
+    for (position, name) in names.enumerate() {
+        positions.entry(name.clone()).or_insert(position);
     }
     positions
 }
--- /dev/null
+++ b/crates/jobs/src/dispatch/systems/backlog.rs
@@ -0,0 +1,158 @@
+//! Waiting work of the active jobs. It is computed again only for jobs that changed, so that passes over a long queue do
+//! not visit each task.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use super::super::Dispatcher;
+use super::super::names::{PoolKey, TeamKey};
+use crate::ids::JobId;
+use crate::spec::Submission;
+use crate::table::{Occurrence, Phase, Progress, TaskState};
+
+/// Active job. The terms are those of the present configuration.
+#[derive(Clone, Copy, Debug)]
+pub(in super::super) struct Track {
+    /// Time by which the job should complete.
+    pub(super) objective: u64,
+    /// True once a failed run of the job was counted against a worker.
+    pub(super) failure_counted: bool,
+    /// Pool that runs it.
+    pub(super) pool: PoolKey,
+    /// Priority of its queue; 0 goes first.
+    pub(super) priority: u32,
+    /// Team that it is accounted to.
+    pub(super) team: Option<TeamKey>,
+    pub(super) backlog: Backlog,
+}
+
+/// Longest chain of steps that an occurrence still has to run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Chain {
+    /// Sum of the declared times, in milliseconds.
+    pub(super) length: u64,
+    /// Number of steps.
+    pub(super) steps: u64,
+}
+
+/// Active jobs whose backlog is out of date.
+#[derive(Clone, Default)]
+pub(in super::super) struct StaleJobs(BTreeSet<JobId>);
+
+/// Shows nothing, because the backlogs follow from the progress of the jobs.
+impl fmt::Debug for StaleJobs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StaleJobs").finish_non_exhaustive()
+    }
+}
+
+/// Waiting work of one job. Processor is given in thousandths of a core.
+#[derive(Clone, Copy, Default, Eq, PartialEq)]
+pub(in super::super) struct Backlog {
+    /// Waiting tasks.
+    pub(super) waiting: u64,
+    /// Waiting tasks of steps that are ready.
+    pub(super) ready: u64,
+    /// Processor that the ready tasks reserve.
+    pub(super) ready_cpu: u64,
+    /// Processor times declared time of the ready tasks that end by themselves, in milliseconds.
+    pub(super) ready_work: u64,
+    /// Processor that long-running tasks occupy.
+    pub(super) long_running_cpu: u64,
+    /// Number of workers over which long-running tasks must be spread.
+    pub(super) min_workers: u64,
+    /// True if a step runs until the job is cancelled.
+    pub(super) long_running: bool,
+    /// Longest chain of steps with waiting tasks.
+    pub(super) chain: Chain,
+}
+
+/// Shows nothing, because the backlog follows from the progress of the job.
+impl fmt::Debug for Backlog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Backlog").finish_non_exhaustive()
+    }
+}
+
+impl Backlog {
+    /// Waiting work of a job with this progress.
+    fn of(submission: &Submission, progress: &Progress) -> Self {
+        let mut backlog = Self::default();
+        for occurrence in &progress.occurrences {
+            let chain = backlog.add_occurrence(submission, occurrence);
+            if chain.length > backlog.chain.length {
+                backlog.chain = chain;
+            }
+        }
+        backlog.long_running = submission.steps.iter().any(|step| step.long_running);
+        backlog
+    }
+
+    /// Adds the waiting tasks of an occurrence. Returns its longest chain of steps with waiting tasks.
+    fn add_occurrence(&mut self, submission: &Submission, occurrence: &Occurrence) -> Chain {
+        let mut ends: Vec<Chain> = Vec::with_capacity(submission.steps.len());
+        for (number, step) in submission.steps.iter().enumerate() {
+            let tasks = occurrence.step(submission, number);
+            let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
+            let before = step.after.iter().filter_map(|&s| ends.get(usize::from(s)));
+            let mut chain = before.max_by_key(|chain| chain.length).copied().unwrap_or_default();
+            if waiting > 0 {
+                chain.length += step.estimate_ms;
+                chain.steps += 1;
+            }
+            ends.push(chain);
+            self.waiting += waiting;
+            if step.long_running {
+                self.long_running_cpu += u64::from(step.count) * step.reserved().cpu;
+                let spread = step.spread.map_or(1, |most| u64::from(step.count.div_ceil(most.max(1))));
+                self.min_workers = self.min_workers.max(spread);
+            }
+            if waiting == 0 || !occurrence.step_ready(submission, number) {
+                continue;
+            }
+            self.ready += waiting;
+            self.ready_cpu += waiting * step.reserved().cpu;
+            if !step.long_running {
+                self.ready_work += waiting * step.need.cpu * step.estimate_ms;
+            }
+        }
+        ends.into_iter().max_by_key(|chain| chain.length).unwrap_or_default()
+    }
+}
+
+impl Dispatcher {
+    /// Records that a job changed: its progress is written, and its backlog computed again.
+    pub(super) fn touch(&mut self, id: JobId) {
+        self.dirty_jobs.insert(id);
+        self.mark_stale(id);
+    }
+
+    /// Has the backlog of a job computed again.
+    pub(super) fn mark_stale(&mut self, id: JobId) {
+        self.stale_jobs.0.insert(id);
+    }
+
+    /// Computes the backlogs of the jobs that changed.
+    pub(in super::super) fn refresh_backlogs(&mut self) {
+        for id in std::mem::take(&mut self.stale_jobs.0) {
+            let (Some(job), Some(track)) = (self.table.get(id), self.tracks.get_mut(&id)) else { continue };
+            let active = job.progress.phase == Phase::Active && !job.canceled;
+            track.backlog =
+                if active { Backlog::of(&job.submission, &job.progress) } else { Backlog::default() };
+        }
+    }
+
+    /// Applies the terms of the present configuration to the active jobs.
+    pub(in super::super) fn refresh_terms(&mut self) {
+        let ids: Vec<JobId> = self.tracks.keys().copied().collect();
+        for id in ids {
+            let Some(job) = self.table.get(id) else { continue };
+            let terms = self.terms(&job.submission);
+            let pool = self.pools.intern(&terms.pool);
+            if let Some(track) = self.tracks.get_mut(&id) {
+                track.pool = pool;
+                track.priority = terms.priority;
+            }
+        }
+    }
+}
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -1,9 +1,11 @@
 //! Demand of each pool, from arriving work, waiting work and long-running tasks.
 
+use slotmap::SecondaryMap;
+
 use super::super::super::Dispatcher;
+use super::super::super::names::PoolKey;
 use crate::ids::JobId;
 use crate::spec::Submission;
-use crate::table::{Phase, TaskState};
 
 /// Time constant of the short average of arriving work, in milliseconds. Short against a surge of some
 /// seconds, long against the time between jobs.
@@ -115,9 +117,11 @@
             demand.decay(now);
         }
         let names: Vec<String> = self.fleet.demand.keys().cloned().collect();
+        let all = self.waiting_work(now);
         for name in names {
             let size = self.worker_cpu(&name);
-            let waiting = self.waiting_work(now, &name);
+            let key = self.pools.key(&name);
+            let waiting = key.and_then(|key| all.get(key)).copied().unwrap_or_default();
             let Some(demand) = self.fleet.demand.get_mut(&name) else { continue };
             let rate = demand.forecast() * (100 + HEADROOM_PERCENT) / 100;
             let needed = (rate + waiting.backlog + waiting.long_running).div_ceil(size.max(1));
@@ -132,42 +136,16 @@
         sizes.map(|w| w.record.capacity.cpu).max().unwrap_or(0).max(1_000)
     }
 
-    /// Demand of the waiting and of the long-running tasks of a pool.
-    fn waiting_work(&self, now: u64, pool: &str) -> WaitingWork {
-        let mut waiting = WaitingWork::default();
-        for (id, track) in &self.tracks {
-            if track.ended.is_some() {
-                continue;
-            }
-            let Some(job) = self.table.get(*id) else { continue };
-            if job.progress.phase != Phase::Active || self.pool_of(&job.submission) != pool {
-                continue;
-            }
+    /// Demand of the waiting and of the long-running tasks, by pool.
+    fn waiting_work(&self, now: u64) -> SecondaryMap<PoolKey, WaitingWork> {
+        let mut all: SecondaryMap<PoolKey, WaitingWork> = SecondaryMap::new();
+        for track in self.tracks.values() {
+            let Some(waiting) = all.entry(track.pool).map(|entry| entry.or_default()) else { continue };
             let within = if now > track.objective { LATE_BACKLOG_MS } else { BACKLOG_MS };
-            for occurrence in &job.progress.occurrences {
-                for (number, step) in job.submission.steps.iter().enumerate() {
-                    if step.long_running {
-                        waiting.long_running += u64::from(step.count) * step.reserved().cpu;
-                        let min_workers =
-                            step.spread.map_or(1, |most| u64::from(step.count.div_ceil(most.max(1))));
-                        waiting.min_workers = waiting.min_workers.max(min_workers);
-                        continue;
-                    }
-                    if !occurrence.step_ready(&job.submission, number) {
-                        continue;
-                    }
-                    let rows = occurrence.step(&job.submission, number);
-                    let count = rows.iter().filter(|row| row.state == TaskState::Waiting).count() as u64;
-                    waiting.backlog += count * step.need.cpu * step.estimate_ms / within;
-                }
-            }
+            waiting.backlog += track.backlog.ready_work / within;
+            waiting.long_running += track.backlog.long_running_cpu;
+            waiting.min_workers = waiting.min_workers.max(track.backlog.min_workers);
         }
-        waiting
-    }
-
-    /// Pool that runs a job.
-    pub(in super::super) fn pool_of<'a>(&'a self, submission: &'a Submission) -> &'a str {
-        let queue = self.queue(&submission.queue);
-        queue.map_or(submission.terms.pool.as_str(), |queue| queue.terms.pool.as_str())
+        all
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -91,7 +91,7 @@
         let Some(job) = self.table.get(task.job) else { return false };
         let terms = self.terms(&job.submission);
         let step = job.submission.steps[usize::from(task.step)].clone();
-        let eligible = self.eligible_workers(now, &terms.pool);
-        matches!(self.choose(now, &eligible, None, &step, task), Choice::Worker(_))
+        let mut rooms = self.open_rooms(now, &terms.pool);
+        matches!(self.choose(now, &mut rooms, false, &step, task), Choice::Worker(_))
     }
 }
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -41,6 +41,7 @@
             if job.progress.phase != Phase::Active {
                 continue;
             }
+            let mut begun = false;
             for _ in 0..MAX_BEGINS {
                 let number = job.progress.begun;
                 if number >= schedule.times || schedule.due_ms(number) > unix {
@@ -48,12 +49,15 @@
                 }
                 job.progress.occurrences.push(Occurrence::new(number, &job.submission));
                 job.progress.begun += 1;
-                self.dirty_jobs.insert(id);
-                self.unchanged = false;
+                begun = true;
             }
             if job.progress.begun < schedule.times {
                 self.scheduled.insert(id);
             }
+            if begun {
+                self.touch(id);
+                self.unchanged = false;
+            }
         }
     }
 
@@ -67,13 +71,12 @@
         }
         self.last_sweep = now;
         self.dropped.append(&mut self.undeleted);
-        let keep = self.options.retention_ms;
-        let old = |track: &super::super::Track| track.ended.is_some_and(|at| at + keep < now);
-        let stored = |id| self.table.get(id).is_none_or(|job| job.state().ended());
-        let tracks = self.tracks.iter().filter(|(id, track)| old(track) && stored(**id));
-        let ids: Vec<JobId> = tracks.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.tracks.remove(&id);
+        while let Some(&(at, id)) = self.ended.front() {
+            let stored = self.table.get(id).is_none_or(|job| job.state().ended());
+            if at + self.options.retention_ms >= now || !stored {
+                break;
+            }
+            self.ended.pop_front();
             self.table.remove(id);
             self.dirty_jobs.remove(&id);
             self.dropped.push(id);
--- a/crates/jobs/src/dispatch/systems/leases.rs
+++ b/crates/jobs/src/dispatch/systems/leases.rs
@@ -17,9 +17,12 @@
         for key in expired {
             self.mark_runs_lost(key, "the worker's leases have expired");
         }
+        let known = self.workers.len();
         self.workers
             .retain(|_, w| w.listed || !w.runs.is_empty() || w.missed_polls == 0 && w.pending_ack.is_some());
-        let workers = &self.workers;
-        self.keys_by_id.retain(|_, key| workers.contains_key(*key));
+        if self.workers.len() < known {
+            let workers = &self.workers;
+            self.keys_by_id.retain(|_, key| workers.contains_key(*key));
+        }
     }
 }
--- a/crates/jobs/src/dispatch/systems/load.rs
+++ b/crates/jobs/src/dispatch/systems/load.rs
@@ -5,7 +5,6 @@
 
 use super::super::Dispatcher;
 use super::fleet::Goal;
-use crate::table::{Phase, TaskState};
 
 /// Interval between two log lines about a pool, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
@@ -64,29 +63,12 @@
     }
 
     fn add_ready_tasks(&self, now: u64, loads: &mut BTreeMap<&str, PoolLoad>) {
-        for (id, track) in self.tracks.iter().filter(|(_, track)| track.ended.is_none()) {
-            let Some(job) = self.table.get(*id) else { continue };
-            let submission = &job.submission;
-            let Some(load) = loads.get_mut(self.pool_of(submission)) else { continue };
-            if job.progress.phase != Phase::Active || job.canceled {
-                continue;
-            }
-            let before = load.ready;
-            for occurrence in &job.progress.occurrences {
-                for (number, step) in submission.steps.iter().enumerate() {
-                    if !occurrence.step_ready(submission, number) {
-                        continue;
-                    }
-                    let tasks = occurrence.step(submission, number).iter();
-                    let ready = tasks.filter(|task| task.state == TaskState::Waiting).count() as u64;
-                    load.ready += ready;
-                    load.ready_cpu += ready * step.reserved().cpu;
-                }
-            }
-            if load.ready > before {
-                load.jobs += 1;
-                load.late += u64::from(now > track.objective);
-            }
+        for track in self.tracks.values().filter(|track| track.backlog.ready > 0) {
+            let Some(load) = loads.get_mut(self.pools.name(track.pool)) else { continue };
+            load.ready += track.backlog.ready;
+            load.ready_cpu += track.backlog.ready_cpu;
+            load.jobs += 1;
+            load.late += u64::from(now > track.objective);
         }
     }
 
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -1,5 +1,6 @@
 //! Systems that read and change the dispatcher's tables.
 
+mod backlog;
 mod fleet;
 mod jobs;
 mod leases;
@@ -14,6 +15,7 @@
 mod throttling;
 mod views;
 
+pub(super) use backlog::{StaleJobs, Track};
 pub(super) use fleet::Fleet;
 pub use fleet::WaveProgress;
 pub use load::PoolLoad;
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -43,6 +43,7 @@
         }
         let Some(clock) = clock.filter(|_| in_contact) else {
             run.next_order = Some(now + REPEAT_MS);
+            self.unsettled.insert((key, task));
             return;
         };
         run.sent = true;
@@ -72,6 +73,9 @@
             Outcome::Taken => {
                 run.confirmed.get_or_insert(now);
                 run.unanswered = 0;
+                if run.next_order.is_none() {
+                    self.unsettled.remove(&(key, task));
+                }
             }
             Outcome::Outdated => {
                 run.confirmed.get_or_insert(now);
@@ -79,6 +83,7 @@
             Outcome::Fenced => self.fenced_out = true,
             Outcome::Replaced => self.mark_runs_lost(key, "another worker has the address"),
             Outcome::Unknown => {
+                self.unsettled.insert((key, task));
                 run.unanswered += 1;
                 run.next_order = Some(now + REPEAT_MS * u64::from(run.unanswered));
                 self.counters.repeats += 1;
@@ -87,6 +92,7 @@
                 }
             }
             Outcome::Deferred => {
+                self.unsettled.insert((key, task));
                 run.next_order = Some(now + REPEAT_MS);
                 // Nothing was sent to the worker, so there is no answer to wait for.
                 if worker.missed_polls > 0 && run.confirmed.is_none() && !repeated {
@@ -94,6 +100,7 @@
                 }
             }
             Outcome::Unsent => {
+                self.unsettled.insert((key, task));
                 run.failed_connects += 1;
                 run.next_order = Some(now + REPEAT_MS);
                 if run.failed_connects >= MAX_CONNECT_ATTEMPTS && !repeated {
@@ -156,17 +163,22 @@
             run.confirmed.get_or_insert(now);
         } else {
             run.next_order = Some(now + REPEAT_MS);
+            self.unsettled.insert((key, task));
         }
     }
 
     /// Repeats the orders that are due.
     pub(in super::super) fn send_due_orders(&mut self, now: u64) {
-        let mut next_order = Vec::new();
-        for (key, worker) in &self.workers {
-            let late = worker.runs.iter().filter(|(_, run)| run.next_order.is_some_and(|at| at <= now));
-            next_order.extend(late.map(|(task, run)| (key, *task, run.stopping)));
-        }
-        for (key, task, stopping) in next_order {
+        let workers = &self.workers;
+        let mut due = Vec::new();
+        self.unsettled.retain(|&(key, task)| {
+            let Some(run) = workers.get(key).and_then(|worker| worker.runs.get(&task)) else { return false };
+            if run.next_order.is_some_and(|at| at <= now) {
+                due.push((key, task, run.stopping));
+            }
+            run.confirmed.is_none() || run.next_order.is_some()
+        });
+        for (key, task, stopping) in due {
             if stopping {
                 self.stop_run(now, key, task);
             } else {
--- a/crates/jobs/src/dispatch/systems/policy.rs
+++ b/crates/jobs/src/dispatch/systems/policy.rs
@@ -53,11 +53,23 @@
         }
     }
 
+    /// Workers that may run a task's step, with tickets that stay valid long enough for a start.
+    pub(super) fn permitted_workers(&self, now: u64, task: TaskId) -> Vec<WorkerKey> {
+        let Some(entry) = self.policy_tickets.steps.get(&step_name(task)) else { return Vec::new() };
+        let valid = entry.tickets.iter().filter(|(_, (_, until))| self.outlasts_start(now, *until));
+        valid.filter_map(|(worker, _)| self.worker_key(worker)).collect()
+    }
+
+    /// True if a ticket that is valid until then outlasts a start.
+    const fn outlasts_start(&self, now: u64, until: u64) -> bool {
+        until > now + self.options.start_ttl_ms / 2
+    }
+
     /// Ticket for a task's step on a worker, if it stays valid long enough for a start.
     pub(super) fn ticket(&self, now: u64, task: TaskId, worker: &str) -> Option<String> {
         let entry = self.policy_tickets.steps.get(&step_name(task))?;
         let (ticket, until) = entry.tickets.get(worker)?;
-        (*until > now + self.options.start_ttl_ms / 2).then(|| ticket.clone())
+        self.outlasts_start(now, *until).then(|| ticket.clone())
     }
 
     /// Removes a ticket that a worker refused, so that the policy is asked about that worker again.
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -36,7 +36,8 @@
     pub fn update_worker(&mut self, now: u64, record: WorkerRecord) {
         let Some(key) = self.worker_key(&record.worker) else {
             let id = record.worker.clone();
-            let key = self.workers.insert(Worker::new(record, now));
+            let pool = self.pools.intern(&record.pool);
+            let key = self.workers.insert(Worker::new(record, pool, now));
             self.keys_by_id.insert(id, key);
             self.unchanged = false;
             return;
@@ -57,6 +58,7 @@
             worker.clock = Some((record.clock_ms, now));
         }
         worker.listed = true;
+        worker.pool = self.pools.intern(&record.pool);
         worker.record = record;
         self.unchanged = false;
     }
@@ -264,6 +266,7 @@
                         run.next_order = None;
                     } else if run.last_change + STOP_REPEAT_MS < now {
                         run.next_order = Some(now);
+                        self.unsettled.insert((key, *task));
                     }
                 }
                 None if run.confirmed.is_some_and(|at| at < sent) => {
@@ -344,7 +347,7 @@
             return false;
         }
         row.state = TaskState::Placed(place);
-        self.dirty_jobs.insert(task.job);
+        self.touch(task.job);
         true
     }
 }
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -23,7 +23,7 @@
             number,
             reserved: step.reserved(),
             need: step.need,
-            team: job.submission.team.clone(),
+            team: job.submission.team.as_deref().and_then(|team| self.teams.key(team)),
             placed: now,
             sent: false,
             confirmed: None,
@@ -47,9 +47,11 @@
 
     /// Adds a run to a worker and to the usage of its team.
     pub(super) fn add_run(&mut self, key: WorkerKey, task: TaskId, run: Run) {
-        if let Some(team) = &run.team {
-            self.team_usage.entry(team.clone()).or_default().add(run.need);
+        if let Some(usage) = run.team.and_then(|team| self.team_usage.get_mut(team)) {
+            usage.used.add(run.need);
         }
+        self.placed.insert((task, key));
+        self.unsettled.insert((key, task));
         if let Some(worker) = self.workers.get_mut(key) {
             worker.add(task, run);
         }
@@ -58,11 +60,11 @@
     /// Removes a run from its worker and from the usage of its team.
     pub(super) fn remove_run(&mut self, key: WorkerKey, task: TaskId) -> Option<Run> {
         let run = self.workers.get_mut(key)?.remove(task)?;
-        if let Some(team) = &run.team
-            && let Some(used) = self.team_usage.get_mut(team)
-        {
-            used.subtract(run.need);
+        if let Some(usage) = run.team.and_then(|team| self.team_usage.get_mut(team)) {
+            usage.used.subtract(run.need);
         }
+        self.placed.remove(&(task, key));
+        self.unsettled.remove(&(key, task));
         self.unchanged = false;
         Some(run)
     }
@@ -80,7 +82,7 @@
             if !run.checkpoint.is_empty() {
                 row.checkpoint.clone_from(&run.checkpoint);
             }
-            self.dirty_jobs.insert(task.job);
+            self.touch(task.job);
         }
     }
 
@@ -130,7 +132,7 @@
         if !finished && !current && !failed {
             return;
         }
-        self.dirty_jobs.insert(task.job);
+        self.touch(task.job);
         if !finished {
             log::info!(
                 task:% = task, run = end.run, how:? = end.reason, failures = failures,
@@ -153,11 +155,11 @@
     /// tasks that fail on every worker would exclude all workers of a pool.
     fn record_run_outcome(&mut self, now: u64, key: WorkerKey, id: JobId, reason: EndReason) {
         let failed = reason == EndReason::Failed;
-        if failed
-            && let Some(track) = self.tracks.get_mut(&id)
-            && std::mem::replace(&mut track.failure_counted, true)
-        {
-            return;
+        if failed {
+            let Some(track) = self.tracks.get_mut(&id) else { return };
+            if std::mem::replace(&mut track.failure_counted, true) {
+                return;
+            }
         }
         if let Some(worker) = self.workers.get_mut(key) {
             worker.record_outcome(now, failed);
@@ -190,11 +192,12 @@
         }
         let before = job.progress.occurrences.len();
         job.progress.occurrences.retain(|o| o.tasks.iter().any(|t| t.state != TaskState::Done));
+        let times = job.submission.schedule.map_or(1, |schedule| schedule.times);
+        let completed = job.progress.occurrences.is_empty() && job.progress.begun >= times;
         if job.progress.occurrences.len() != before {
-            self.dirty_jobs.insert(id);
+            self.touch(id);
         }
-        let times = job.submission.schedule.map_or(1, |schedule| schedule.times);
-        if job.progress.occurrences.is_empty() && job.progress.begun >= times {
+        if completed {
             self.end_job(now, id, Phase::Completed);
         }
     }
@@ -206,17 +209,18 @@
             return;
         }
         job.progress.phase = phase;
-        self.dirty_jobs.insert(id);
+        self.touch(id);
         match phase {
             Phase::Completed => self.counters.completed += 1,
             Phase::Failed => self.counters.failed += 1,
             Phase::Active | Phase::Canceled => {}
         }
-        let track = self.tracks.get_mut(&id);
-        let late_ms = track.as_ref().map_or(0, |track| now.saturating_sub(track.objective));
-        if let Some(track) = track {
-            track.ended = Some(now);
+        let track = self.tracks.remove(&id);
+        let late_ms = track.map_or(0, |track| now.saturating_sub(track.objective));
+        if let Some(usage) = track.and_then(|track| self.team_usage.get_mut(track.team?)) {
+            usage.jobs = usage.jobs.saturating_sub(1);
         }
+        self.ended.push_back((now, id));
         if phase == Phase::Completed {
             self.lateness.push(late_ms);
         }
@@ -229,11 +233,8 @@
     pub(super) fn stop_job_runs(&mut self, now: u64, id: JobId) {
         let first = TaskId { job: id, occurrence: 0, step: 0, index: 0 };
         let last = TaskId { job: id, occurrence: u32::MAX, step: u16::MAX, index: u16::MAX };
-        let mut running = Vec::new();
-        for (key, worker) in &self.workers {
-            running.extend(worker.runs.range(first..=last).map(|(task, _)| (key, *task)));
-        }
-        for (key, task) in running {
+        let running: Vec<(TaskId, WorkerKey)> = self.placed_runs(first, last).collect();
+        for (task, key) in running {
             self.stop_run(now, key, task);
         }
     }
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -94,19 +94,14 @@
         {
             log::info!(task:% = task, run = number; "the task may get a second run beside the first");
             row.state = TaskState::Waiting;
-            self.dirty_jobs.insert(task.job);
+            self.touch(task.job);
             self.unchanged = false;
         }
     }
 
     /// Stops the remaining runs of a task that is done.
     pub(super) fn stop_remaining_runs(&mut self, now: u64, task: TaskId) {
-        let others: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.runs.contains_key(&task))
-            .map(|(key, _)| key)
-            .collect();
+        let others: Vec<WorkerKey> = self.placed_runs(task, task).map(|(_, key)| key).collect();
         for key in others {
             self.stop_run(now, key, task);
         }
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -4,9 +4,10 @@
 //! does not list then will never start. A worker that does not answer may have the runs that were placed on
 //! it until the longest lease that the former owner can have granted has expired.
 
+use super::super::Dispatcher;
 use super::super::event::WorkerRecord;
 use super::super::worker::{FormerStop, Run, Worker, WorkerKey};
-use super::super::{Dispatcher, Track};
+use super::backlog::{Backlog, Track};
 use crate::ids::{JobId, TaskId};
 use crate::spec::Resources;
 use crate::table::{Phase, Placement, Task, TaskState, each_task};
@@ -22,7 +23,7 @@
         // The former owner deleted their submissions and had no time to delete their progress.
         self.dirty_jobs.extend(self.table.take_ended_orphans());
         log::info!(
-            epoch = self.epoch, jobs = self.tracks.len(), workers = self.workers.len();
+            epoch = self.epoch, jobs = self.table.jobs().count(), workers = self.workers.len();
             "this instance owns the work"
         );
     }
@@ -69,7 +70,8 @@
             started_ms: place.started_ms,
             clock_ms: 0,
         };
-        let mut worker = Worker::new(record, now);
+        let pool = self.pools.intern(&record.pool);
+        let mut worker = Worker::new(record, pool, now);
         worker.listed = false;
         worker.grant(now, self.options.store_timeout_ms + self.options.lease_ms);
         let key = self.workers.insert(worker);
@@ -94,11 +96,26 @@
         let age = unix.saturating_sub(i64::try_from(job.submission.arrived_ms).unwrap_or(0));
         let age = u64::try_from(age).unwrap_or(0).min(super::jobs::MAX_AGE_MS);
         let length = job.submission.chain_ms() * terms.stretch_percent / 100 + terms.target_ms;
-        let ended = (job.progress.phase != Phase::Active).then_some(now);
-        let objective = (now + length).saturating_sub(age);
-        if ended.is_none() && job.submission.schedule.is_some() {
+        if job.progress.phase != Phase::Active {
+            self.ended.push_back((now, id));
+            return;
+        }
+        if job.submission.schedule.is_some() {
             self.scheduled.insert(id);
         }
-        self.tracks.insert(id, Track { objective, ended, failure_counted: false });
+        let team = job.submission.team.as_deref().map(|team| self.teams.intern(team));
+        if let Some(usage) = team.and_then(|team| self.team_usage.entry(team)) {
+            usage.or_default().jobs += 1;
+        }
+        let track = Track {
+            objective: (now + length).saturating_sub(age),
+            failure_counted: false,
+            pool: self.pools.intern(&terms.pool),
+            priority: terms.priority,
+            team,
+            backlog: Backlog::default(),
+        };
+        self.tracks.insert(id, track);
+        self.mark_stale(id);
     }
 }
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -5,6 +5,7 @@
 use slotmap::new_key_type;
 
 use super::event::WorkerRecord;
+use super::names::{PoolKey, TeamKey};
 use crate::ids::TaskId;
 use crate::spec::Resources;
 
@@ -35,7 +36,7 @@
     /// Resources that count against the team's limit.
     pub need: Resources,
     /// Team that it is accounted to, if the job has one.
-    pub team: Option<String>,
+    pub team: Option<TeamKey>,
     /// Time of the placement.
     pub placed: u64,
     /// True once a start was sent.
@@ -128,6 +129,8 @@
 pub struct Worker {
     /// Its latest record in the directory.
     pub record: WorkerRecord,
+    /// Pool in that record.
+    pub pool: PoolKey,
     /// Time at which this process of the worker was first seen.
     pub known_since: u64,
     /// True while the directory lists it.
@@ -167,10 +170,11 @@
 impl Worker {
     /// Creates a worker without runs.
     #[must_use]
-    pub fn new(record: WorkerRecord, now: u64) -> Self {
+    pub fn new(record: WorkerRecord, pool: PoolKey, now: u64) -> Self {
         let clock = (record.clock_ms > 0).then_some((record.clock_ms, now));
         Self {
             record,
+            pool,
             known_since: now,
             listed: true,
             fenced: false,
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -7,6 +7,7 @@
 mod progress;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -51,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub struct Job {
     /// Submission as stored in the intake.
-    pub submission: Submission,
+    pub submission: Arc<Submission>,
     /// Progress; the owner's may be ahead of what is stored.
     pub progress: Progress,
     /// True once the intake contains a cancellation.
@@ -143,6 +144,7 @@
         let progress = self.early.remove(&id).unwrap_or_else(|| Progress::new(&submission));
         let (started, phase) = (progress.started, progress.phase);
         let canceled = self.canceled.contains(&id);
+        let submission = Arc::new(submission);
         let job = Job { submission, progress, canceled, stored_started: started, stored_phase: phase };
         self.jobs.insert(id, job);
         Some(id)
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -395,3 +395,37 @@
     // The workers can run 3,200 of these tasks per second.
     assert!(world.starts.len() >= 2_400, "{} starts in a second", world.starts.len());
 }
+
+/// Guards against a search that examines every worker for every task, which limited a fleet of 900 workers to 1,800 starts
+/// a second while half of its processors were free.
+#[test]
+fn a_pass_over_many_workers_examines_few_for_each_task() {
+    const WORKERS: u64 = 900;
+    const TASKS: u64 = 256;
+    let mut world = World::new(WORKERS as usize);
+    world.run_for(300);
+    for id in 1..=TASKS / 8 {
+        let spread = (id % 4 == 0).then_some(1);
+        let need = Resources { cpu: 1_400 + 100 * (id % 9), memory: 6_000, accelerators: 0 };
+        world.submit(job(id, vec![Step { spread, ..step(8, need, 800) }]));
+    }
+    let before = world.dispatcher.counters.examined;
+    world.dispatcher.tick(world.now + 10);
+    let examined = world.dispatcher.counters.examined - before;
+    assert!(examined <= WORKERS + 8 * TASKS, "{examined} workers examined for {TASKS} tasks");
+}
+
+/// Plays the start of a surge on a large pool. 7,000 cores in tasks of 2.1 cores and 0.8 s are 4,200 starts a second.
+#[test]
+fn a_surge_on_hundreds_of_workers_starts_at_the_rate_that_it_asks_for() {
+    const STARTS: usize = 4_200;
+    let mut world = World::new(900);
+    world.run_for(300);
+    for id in 1..=1_500 {
+        let need = Resources { cpu: 2_100, memory: 6_000, accelerators: 0 };
+        world.submit(job(id, vec![step(8, need, 800)]));
+    }
+    world.starts.clear();
+    world.run_for(1_000);
+    assert!(world.starts.len() >= STARTS, "{} starts in a second", world.starts.len());
+}
