Limit log lines before they are formatted, and let rare ones pass

Cause: the owner of a large fleet logs 2,000 lines a second in a surge. Each was formatted as JSON and most were dropped, among them the load of the pools, which is what explains a surge; the writer's thread woke for each line. Change: a limiter in front of the logger counts by place in the code: 400 lines a second in all, and 20 of each place beyond them. The writer collects lines for 10 ms and writes them together. Result: rare_lines_pass_while_frequent_ones_are_dropped; the test of the writer splits its output by lines, same checks.

--- a/crates/entry/src/logs/mod.rs
+++ b/crates/entry/src/logs/mod.rs
@@ -1,5 +1,6 @@
 //! Logging as JSON, one object per line.
 
+mod limiter;
 mod writer;
 
 use std::io::Write;
@@ -10,11 +11,15 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::Map;
 
+use limiter::LimitedLogger;
+pub use limiter::{Limits, RateLimiter};
 pub use writer::RateLimitedWriter;
 
-/// Most log lines of [`start_bounded`] per second. A busy second stays below it, and writing as many takes less than a
-/// tenth of a small instance's processor.
-const MAX_LINES_PER_SECOND: usize = 400;
+/// Most log lines of [`start_bounded`] per second. A busy second stays below the total, and writing as many takes less
+/// than a tenth of a small instance's processor.
+const LIMITS: Limits = Limits { total: 400, each: 20 };
+/// Most lines per second that are handed to the writer, whatever places they come from.
+const MAX_LINES_PER_SECOND: usize = 1_000;
 
 /// Starts logging to standard error with a filter such as `info` or `rattanfall_entry=debug`. Later calls have no
 /// effect.
@@ -29,15 +34,23 @@
 /// Fails if the writer thread cannot be started.
 pub fn start_bounded(filter: &str) -> std::io::Result<()> {
     let writer = RateLimitedWriter::new(std::io::stdout(), MAX_LINES_PER_SECOND)?;
-    start_on(filter, Target::Pipe(Box::new(writer)));
+    let logger = builder(filter, Target::Pipe(Box::new(writer))).build();
+    let level = logger.filter();
+    if log::set_boxed_logger(Box::new(LimitedLogger::new(logger, LIMITS))).is_ok() {
+        log::set_max_level(level);
+    }
     Ok(())
 }
 
 fn start_on(filter: &str, target: Target) {
+    let _ = builder(filter, target).try_init();
+}
+
+fn builder(filter: &str, target: Target) -> env_logger::Builder {
     let mut builder = env_logger::Builder::new();
     builder.parse_filters(filter).target(target);
     builder.format(|buffer, record| writeln!(buffer, "{}", line(record)));
-    let _ = builder.try_init();
+    builder
 }
 
 /// Formats a record as a JSON object.
--- a/crates/entry/src/logs/writer.rs
+++ b/crates/entry/src/logs/writer.rs
@@ -9,6 +9,8 @@
 
 /// Most lines in the queue.
 const QUEUE_LINES: usize = 4_096;
+/// Time for which the writer thread collects lines before it writes them together.
+const BATCH_TIME: Duration = Duration::from_millis(10);
 /// Window of the rate limit.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -76,9 +78,11 @@
 }
 
 fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>) {
-    while let Ok(line) = lines.recv() {
+    while let Ok(mut batch) = lines.recv() {
+        std::thread::sleep(BATCH_TIME);
+        lines.try_iter().for_each(|line| batch.extend(line));
         // If the output fails, the failure cannot be reported anywhere.
-        if output.write_all(&line).and_then(|()| output.flush()).is_err() {
+        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
             return;
         }
     }
--- a/crates/entry/tests/log_writer.rs
+++ b/crates/entry/tests/log_writer.rs
@@ -4,15 +4,16 @@
 use std::sync::mpsc::{Sender, channel};
 use std::time::{Duration, Instant};
 
-use rattanfall_entry::logs::RateLimitedWriter;
+use rattanfall_entry::logs::{Limits, RateLimitedWriter, RateLimiter};
 
 /// Output that sends each line to a channel.
 struct ChannelOutput(Sender<String>);
 
 impl Write for ChannelOutput {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let line = String::from_utf8_lossy(bytes).into_owned();
-        self.0.send(line).map_err(|_| io::ErrorKind::BrokenPipe)?;
+        for line in String::from_utf8_lossy(bytes).split_inclusive('\n') {
+            self.0.send(line.to_owned()).map_err(|_| io::ErrorKind::BrokenPipe)?;
+        }
         Ok(bytes.len())
     }
 
@@ -64,3 +65,16 @@
     }
     assert!(start.elapsed() < Duration::from_secs(5));
 }
+
+/// Guards against frequent lines that hide rare ones, as the lines of a surge hid the load of the pools.
+#[test]
+fn rare_lines_pass_while_frequent_ones_are_dropped() {
+    let start = Instant::now();
+    let mut limiter = RateLimiter::new(Limits { total: 10, each: 2 }, start);
+    let frequent = (0..30).filter(|_| limiter.admit(("placing.rs", 1))).count();
+    let rare = (0..3).filter(|_| limiter.admit(("load.rs", 2))).count();
+    assert_eq!((frequent, rare), (10, 2));
+    assert_eq!(limiter.advance(start + Duration::from_millis(900)), 0);
+    assert_eq!(limiter.advance(start + Duration::from_secs(1)), 21);
+    assert!(limiter.admit(("placing.rs", 1)));
+}
