Judge slow runs by tasks like them, not by the declared duration

Cause: a run counted as slow if it took twice its declared time and would take longer than that once more. Change: a run is compared with the tasks of its step that are done or run on other workers, else with the multiple of the declared time within which 95% of its queue's tasks are done, which is learned. A run whose progress stands still is found by that. Slow and stalled workers are still left (two tests).

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -26,7 +26,7 @@
 use command::Command;
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
-use systems::{Fleet, PolicyTickets, StaleJobs, Track};
+use systems::{Durations, Fleet, PolicyTickets, StaleJobs, Track};
 pub use systems::{PoolLoad, WaveProgress};
 use worker::{PollState, Worker, WorkerKey};
 
@@ -162,6 +162,7 @@
     wall_clock: u64,
     /// Time at which the store was last known to have no newer owner.
     last_contact: u64,
+    durations: Durations,
     policy_tickets: PolicyTickets,
     fleet: Fleet,
     /// Counters since this owner started.
@@ -223,6 +224,7 @@
             unix_offset: 0,
             wall_clock: unix_ms,
             last_contact: now,
+            durations: Durations::default(),
             policy_tickets: PolicyTickets::default(),
             fleet: Fleet::default(),
             counters: Counters::default(),
--- /dev/null
+++ b/crates/jobs/src/dispatch/systems/durations.rs
@@ -0,0 +1,137 @@
+//! Durations of tasks, learned from those that are done.
+//!
+//! Declared durations are often far off, but the tasks of a step behave alike, and the jobs of a queue are declared by the
+//! same callers. Without this, a task whose caller declared too little looks like one on a slow worker.
+
+use std::collections::BTreeMap;
+
+use super::super::Dispatcher;
+use crate::ids::{JobId, TaskId};
+use crate::spec::Submission;
+use crate::table::TaskState;
+
+/// Share of the tasks that take at most the learned multiple of their declared duration, in percent.
+const QUANTILE_PERCENT: f64 = 95.0;
+/// Multiple of the declared duration that is assumed before anything is learned.
+const INITIAL_RATIO: f64 = 2.0;
+/// Relative change of the learned multiple by a task that exceeds it.
+const LEARNING_RATE: f64 = 0.1;
+/// Bounds of the learned multiple.
+const MIN_RATIO: f64 = 1.0;
+const MAX_RATIO: f64 = 8.0;
+
+/// Multiple of the declared duration within which most tasks of a queue are done.
+#[derive(Clone, Copy, Debug)]
+struct Ratio(f64);
+
+impl Default for Ratio {
+    fn default() -> Self {
+        Self(INITIAL_RATIO)
+    }
+}
+
+impl Ratio {
+    /// Learns from a task that took `took_ms`. The estimate rises for longer tasks and falls for others, in such steps
+    /// that it stays where the given share of the tasks is below it.
+    fn learn(&mut self, took_ms: u64, declared_ms: u64) {
+        let longer = took_ms as f64 > self.0 * declared_ms.max(1) as f64;
+        let share = QUANTILE_PERCENT / 100.0;
+        let change = if longer { share } else { share - 1.0 };
+        self.0 = (self.0 * (LEARNING_RATE * change).exp()).clamp(MIN_RATIO, MAX_RATIO);
+    }
+}
+
+/// Done tasks of one step.
+#[derive(Clone, Copy, Debug, Default)]
+struct StepTimes {
+    done: u64,
+    total_ms: u64,
+}
+
+/// Job, occurrence and step.
+type StepKey = (JobId, u32, u16);
+
+/// Learned durations.
+#[derive(Clone, Debug, Default)]
+pub(in super::super) struct Durations {
+    steps: BTreeMap<StepKey, StepTimes>,
+    /// By the name of the queue.
+    queues: BTreeMap<String, Ratio>,
+}
+
+impl Durations {
+    /// Records that a task is done.
+    pub(super) fn learn(&mut self, submission: &Submission, task: TaskId, took_ms: u64) {
+        let step = &submission.steps[usize::from(task.step)];
+        if step.long_running {
+            return;
+        }
+        let times = self.steps.entry((task.job, task.occurrence, task.step)).or_default();
+        times.done += 1;
+        times.total_ms += took_ms;
+        match self.queues.get_mut(&submission.queue) {
+            Some(ratio) => ratio.learn(took_ms, step.estimate_ms),
+            None => {
+                let mut ratio = Ratio::default();
+                ratio.learn(took_ms, step.estimate_ms);
+                self.queues.insert(submission.queue.clone(), ratio);
+            }
+        }
+    }
+
+    /// Forgets the steps of a job.
+    pub(super) fn forget(&mut self, job: JobId) {
+        let keys: Vec<StepKey> =
+            self.steps.range((job, 0, 0)..=(job, u32::MAX, u16::MAX)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.steps.remove(&key);
+        }
+    }
+
+    /// Time within which most tasks like this are done, by their declared duration, in milliseconds.
+    fn usual_ms(&self, submission: &Submission, task: TaskId) -> u64 {
+        let declared = submission.steps[usize::from(task.step)].estimate_ms;
+        let ratio = self.queues.get(&submission.queue).copied().unwrap_or_default();
+        (declared as f64 * ratio.0) as u64
+    }
+
+    /// Mean time of the done tasks of a task's step, in milliseconds.
+    fn done_ms(&self, task: TaskId) -> Option<u64> {
+        let times = self.steps.get(&(task.job, task.occurrence, task.step))?;
+        times.total_ms.checked_div(times.done)
+    }
+}
+
+impl Dispatcher {
+    /// Time that a task should take, in milliseconds: as long as the other tasks of its step, or else as most tasks of
+    /// its queue by their declared durations. The second value is true in the first case.
+    pub(super) fn expected_ms(&self, now: u64, task: TaskId) -> (u64, bool) {
+        let Some(job) = self.table.get(task.job) else { return (0, false) };
+        let siblings = self.durations.done_ms(task).or_else(|| self.projected_ms(now, task));
+        let usual = self.durations.usual_ms(&job.submission, task);
+        siblings.map_or((usual, false), |ms| (ms, true))
+    }
+
+    /// Median of the times that the running tasks of the same step on other workers will take by their progress.
+    fn projected_ms(&self, now: u64, task: TaskId) -> Option<u64> {
+        let job = self.table.get(task.job)?;
+        let occurrence = job.progress.occurrences.iter().find(|o| o.number == task.occurrence)?;
+        let rows = occurrence.step(&job.submission, usize::from(task.step));
+        let own = match &rows.get(usize::from(task.index))?.state {
+            TaskState::Placed(place) => Some(&place.worker),
+            TaskState::Waiting | TaskState::Done => None,
+        };
+        let mut times = Vec::new();
+        for (index, row) in (0_u16..).zip(rows) {
+            let TaskState::Placed(place) = &row.state else { continue };
+            if Some(&place.worker) == own {
+                continue;
+            }
+            let worker = self.worker_key(&place.worker).and_then(|key| self.workers.get(key));
+            let run = worker.and_then(|worker| worker.runs.get(&TaskId { index, ..task }));
+            times.extend(run.and_then(|run| run.projected_ms(now)));
+        }
+        times.sort_unstable();
+        times.get(times.len() / 2).copied()
+    }
+}
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -1,6 +1,7 @@
 //! Systems that read and change the dispatcher's tables.
 
 mod backlog;
+mod durations;
 mod fleet;
 mod jobs;
 mod leases;
@@ -16,6 +17,7 @@
 mod views;
 
 pub(super) use backlog::{StaleJobs, Track};
+pub(super) use durations::Durations;
 pub(super) use fleet::Fleet;
 pub use fleet::WaveProgress;
 pub use load::PoolLoad;
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -259,6 +259,9 @@
                     run.confirmed.get_or_insert(now);
                     run.unlisted_polls = 0;
                     run.unanswered = 0;
+                    if run.progress != listed.progress {
+                        run.progress_at = now;
+                    }
                     run.progress = listed.progress;
                     run.former_stop = run.former_stop.after_listing(now, stop_ms);
                     run.checkpoint.clone_from(&listed.checkpoint);
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -1,5 +1,7 @@
 //! Runs of tasks: adding and removing them, and the effect of their ends on the job.
 
+use std::sync::Arc;
+
 use super::super::Dispatcher;
 use super::super::event::EndReason;
 use super::super::worker::{FormerStop, Run, WorkerKey};
@@ -35,6 +37,7 @@
             failed_connects: 0,
             unlisted_polls: 0,
             progress: 0,
+            progress_at: now,
             speed_percent: 100,
             long_running: step.long_running,
             checkpoint: String::new(),
@@ -118,6 +121,10 @@
         let finished = end.reason == EndReason::Done && !long_running && row.state != TaskState::Done;
         if finished {
             row.state = TaskState::Done;
+            if let Some(begun) = run.as_ref().and_then(|run| run.confirmed) {
+                let submission = Arc::clone(&job.submission);
+                self.durations.learn(&submission, task, now.saturating_sub(begun));
+            }
         } else if current {
             row.state = TaskState::Waiting;
             let listed = run.map(|run| run.checkpoint).unwrap_or_default();
@@ -226,6 +233,7 @@
         }
         log::info!(job:% = id, phase:? = phase, late_ms = late_ms; "the job ended");
         self.remove_tickets(id);
+        self.durations.forget(id);
         self.stop_job_runs(now, id);
     }
 
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -1,19 +1,25 @@
-//! Runs that are far slower than declared, or on a worker that does not answer.
+//! Runs that are far slower than they should be, or on a worker that does not answer.
 //!
-//! A worker can slow down or stall while it still answers polls. If the listed progress of a run leaves more
-//! time than a new run elsewhere would need, the run is stopped and the task placed again. A step that allows
-//! speculative execution gets a second run beside the first instead.
+//! A worker can slow down or stall while it still answers polls. If a run makes no progress any more, or its progress
+//! leaves more time than a new run elsewhere would need, the run is stopped and the task placed again. A step that
+//! allows speculative execution gets a second run beside the first instead.
 
 use super::super::Dispatcher;
 use super::super::worker::{Run, WorkerKey};
 use crate::ids::TaskId;
 use crate::table::TaskState;
 
-/// Share of the declared time after which a run may count as slow, in percent. Declared times are often off
-/// by half.
-const SLOW_PERCENT: u64 = 200;
+/// Multiple of the time of other tasks of its step from which a run counts as slow, in percent. Tasks of a step differ
+/// by less, and a task far from its data takes three times as long.
+const SLOW_PERCENT: u64 = 400;
+/// The same multiple of the time within which most tasks of the queue are done.
+const UNUSUAL_PERCENT: u64 = 200;
 /// Time before which no run counts as slow, in milliseconds. Progress is too coarse until then.
 const SLOW_MIN_MS: u64 = 800;
+/// Time without any progress after which a run has stalled, in milliseconds. Workers are polled at least each second.
+const STALL_MS: u64 = 1_200;
+/// Progress that a run would have made in that time, in percent, for the lack of it to count.
+const STALL_PERCENT: u64 = 20;
 /// Time that a stop and a new start take in addition to the task, in milliseconds.
 const RESTART_MS: u64 = 500;
 /// Time for which a worker with a slow run gets no new tasks, in milliseconds.
@@ -50,15 +56,29 @@
         else {
             return false;
         };
-        let Some(job) = self.table.get(task.job) else { return false };
-        let estimate = job.submission.steps[usize::from(task.step)].estimate_ms;
         let elapsed = now.saturating_sub(started.max(run.placed));
-        if elapsed < SLOW_MIN_MS || elapsed < estimate * SLOW_PERCENT / 100 {
+        if elapsed < SLOW_MIN_MS || run.progress >= 100 {
             return false;
         }
-        let progress = u64::from(run.progress);
-        let remaining_ms = (elapsed * (100 - progress.min(100))).checked_div(progress);
-        remaining_ms.unwrap_or(u64::MAX) > estimate + RESTART_MS + self.options.stop_ms
+        let (expected, by_siblings) = self.expected_ms(now, task);
+        let restart = expected + RESTART_MS + self.options.stop_ms;
+        if Self::has_stalled(now, run) {
+            return true;
+        }
+        let percent = if by_siblings { SLOW_PERCENT } else { UNUSUAL_PERCENT };
+        let slow = expected * percent / 100;
+        match run.projected_ms(now) {
+            Some(projected) => projected > slow && projected - elapsed > restart,
+            None => elapsed > slow,
+        }
+    }
+
+    /// True if a run that made progress has made none for some time.
+    fn has_stalled(now: u64, run: &Run) -> bool {
+        let Some(started) = run.confirmed.filter(|_| run.progress > 0) else { return false };
+        let idle = now.saturating_sub(run.progress_at);
+        let moved = run.progress_at.saturating_sub(started.max(run.placed));
+        idle > STALL_MS && idle * u64::from(run.progress) > STALL_PERCENT * moved
     }
 
     /// Makes the speculative tasks of a worker that does not answer available for a second run at once.
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -59,6 +59,8 @@
     pub unlisted_polls: u32,
     /// Completed share of the work, in percent. A long-running task reports 100 once it is up.
     pub progress: u8,
+    /// Time at which the listed progress last changed.
+    pub progress_at: u64,
     /// Processor share that was last ordered, in percent of full speed.
     pub speed_percent: u8,
     /// True if the task runs until its job is cancelled.
@@ -82,6 +84,13 @@
         self.confirmed.is_none() && !self.stopping && self.unanswered == 0 && self.failed_connects == 0
     }
 
+    /// Time that the run will take by its listed progress, in milliseconds; none without progress.
+    #[must_use]
+    pub fn projected_ms(&self, now: u64) -> Option<u64> {
+        let elapsed = now.saturating_sub(self.confirmed?.max(self.placed));
+        (elapsed * 100).checked_div(u64::from(self.progress.min(100)))
+    }
+
     /// True if a long-running task is up here and no stop may be under way.
     #[must_use]
     pub fn available(&self) -> bool {
--- a/crates/jobs/tests/stragglers.rs
+++ b/crates/jobs/tests/stragglers.rs
@@ -128,3 +128,36 @@
     // The platform requires that no job waits for 3 s while most of the pool is free.
     assert!(world.now < at + 3_000, "a job that does not fail waited for {} ms", world.now - at);
 }
+
+/// Declared durations are often far too short. Runs that were stopped for it threw away a tenth of the work, and their jobs
+/// were late.
+#[test]
+fn tasks_that_take_longer_than_declared_go_on() {
+    const JOBS: u64 = 40;
+    let mut world = World::new(60);
+    world.run_for(300);
+    for id in 1..=JOBS {
+        world.durations.insert(JobId(id), 2_000 + 50 * id);
+        let declared = 300 + 40 * (id * 7 % JOBS);
+        world.submit(job(id, vec![step(6, cores(4), declared)]));
+        world.run_for(50);
+    }
+    world.run_for(6_000);
+    let done = (1..=JOBS).filter(|id| world.state(*id) == Some(JobState::Completed)).count();
+    assert_eq!((done, world.stops.len()), (40, 0));
+}
+
+/// The other tasks of a step tell that a worker is slow, whatever was declared.
+#[test]
+fn a_task_on_a_slow_worker_runs_elsewhere() {
+    let mut world = World::new(4);
+    world.run_for(300);
+    let worker = world.worker_on("red-00");
+    world.workers.get_mut(&worker).expect("it is known").slowness = 10;
+    world.durations.insert(JobId(1), 1_000);
+    world.submit(job(1, vec![step(8, cores(8), 700)]));
+    world.run_for(4_000);
+    let slow = world.stops.iter().filter(|(_, _, on)| *on == worker).count();
+    assert_eq!((slow, world.stops.len()), (2, 2));
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) partitioned: bool,
     /// Its runs make no progress.
     pub(crate) stuck: bool,
+    /// Its runs take this many times as long.
+    pub(crate) slowness: u64,
     /// Every run that starts on it fails.
     pub(crate) failing: bool,
     /// It carries out starts, but their answers are lost.
@@ -320,6 +322,7 @@
             deadline: 0,
             partitioned: false,
             stuck: false,
+            slowness: 1,
             failing: false,
             drops_answers: false,
             listed: true,
@@ -490,11 +493,10 @@
         let now = self.now;
         for worker in self.workers.values_mut() {
             let clock = 1_000 + now;
-            if worker.stuck {
-                for run in worker.runs.values_mut() {
-                    run.start += ROUND_MS;
-                    run.ends += ROUND_MS;
-                }
+            let lost = if worker.stuck { ROUND_MS } else { ROUND_MS - ROUND_MS / worker.slowness };
+            for run in worker.runs.values_mut() {
+                run.start += lost;
+                run.ends += lost;
             }
             let lapsed = worker.deadline <= clock;
             if lapsed {
