--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# The stand-ins are Python programs that need only the standard library (3.11 or later). Checks that they compile.
+# The stand-ins are Python programs that need only the standard library (3.9 or later). Checks that they compile.
 set -e
 cd "$(dirname "$0")"
-python3 -c 'import sys; assert sys.version_info >= (3, 11), sys.version'
+python3 -c 'import sys; assert sys.version_info >= (3, 9), sys.version'
 for file in standin/*.py */case.py; do
   python3 - "$file" <<'PY'
 import sys
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -36,7 +36,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","places","platform","advice","upkeep","sharing"]
 control_mode = "rpc"
-advice = ""
+advice = "{advice}"
 [zones]
 zone-a = "region"
 zone-b = "region"
@@ -142,7 +142,7 @@
             file.write(SETTINGS.format(
                 name=self.name, zone=self.zone, range0=self.range0, range1=self.range0 + 15, front=self.front,
                 ready=self.ready, store=f"127.0.0.1:{self.link.port}", machines=self.fleet.machine_server.address,
-                hold_max_ms=self.fleet.hold_max_ms, status_s=self.fleet.status_s))
+                hold_max_ms=self.fleet.hold_max_ms, status_s=self.fleet.status_s, advice=self.fleet.advice))
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.fleet.folder, "RATTANFALL_BOOT": path}
         with open(os.path.join(self.fleet.folder, f"{self.name}.log"), "a") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -176,6 +176,7 @@
         self.record = open(record, "w")
         self.began = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="review-")
+        self.advice = ""  # address of the service for advice
         self.workers, self.nodes = {}, []
         self.running = {}  # task -> {(run, worker)}
         self.done = {}  # task -> (run, noted)
@@ -229,13 +230,13 @@
 
     # Setting up and clearing away.
 
-    async def start(self, nodes, workers, pools=("pool",), bound=None):
+    async def start(self, nodes, workers, pools=("pool",), bound=None, advice=None):
         """Starts stand-ins and processes. `workers` holds the arguments of each worker."""
         self.store = Store(self.note)
         self.store_server = await serve(self.store)
         self.machine_server = httpd.Server(Machines(self).handle)
         await self.machine_server.start()
-        self.configure(pools, bound)
+        self.configure(pools, bound, advice)
         for arguments in workers:
             worker = Worker(self, **arguments)
             self.workers[worker.name] = worker
@@ -247,11 +248,13 @@
         if not await self.until(self.all_ready, 20):
             raise RuntimeError("the entry instances are not ready")
 
-    def configure(self, pools, bound):
+    def configure(self, pools, bound, advice):
         routes = [
             {"name": f"r-{pool}", "host": HOST, "path_prefix": f"/{pool}/", "kind": "non_idempotent", "timeout_ms": 3000,
              "target_latency_ms": 600, "priority": 1, "service": pool, "max_attempts": 3, "stretch": 1.6,
              "auth_exempt": False} for pool in pools]
+        for route in routes if advice else []:
+            route["advice"] = advice
         services = [
             {"name": pool, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
              "cold_start_s": 0.0, "cold_per_s": 0.0, "rejects_overload": False, "standby": False} for pool in pools]
