Log when a worker is seen to have restarted

Nothing told from the logs whether a run that was given up after a restart of its worker had reached the process before or the one after it. The line names the starts of both processes, where the new one was seen, the age of the reading of its clock and the runs that were placed on it.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -48,7 +48,7 @@
             return;
         }
         if old != 0 && new > old {
-            self.reset_worker(now, key, new);
+            self.reset_worker(now, key, new, "directory");
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.record.address != record.address || !worker.listed {
@@ -73,7 +73,17 @@
     }
 
     /// Resets a worker that restarted: it has no runs, and its numbers of ends begin anew.
-    fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64) {
+    fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64, seen_in: &'static str) {
+        if let Some(worker) = self.workers.get(key) {
+            let clock_age_ms = worker.clock.map_or(u64::MAX, |(_, read)| now.saturating_sub(read));
+            let oldest = worker.runs.values().map(|run| now.saturating_sub(run.placed)).max();
+            log::info!(
+                worker = worker.record.worker.as_str(), started_ms = started_ms, before_ms = worker.record.started_ms,
+                seen_in = seen_in, clock_age_ms = clock_age_ms, runs = worker.runs.len(),
+                oldest_run_ms = oldest.unwrap_or(0);
+                "the worker restarted"
+            );
+        }
         self.mark_runs_lost(key, "the worker restarted");
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.known_since = now;
@@ -164,7 +174,7 @@
             return;
         }
         if status.started_ms > known && known != 0 {
-            self.reset_worker(now, key, status.started_ms);
+            self.reset_worker(now, key, status.started_ms, "poll");
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.record.started_ms = worker.record.started_ms.max(status.started_ms);
