Log how far a worker's clock is from its estimate

A run that outlasts the time after which its task is started elsewhere can come from a wrong estimate of the worker's clock, from a lease that was renewed too late, or from a wait that is too short. The logs told none of these apart.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -27,6 +27,8 @@
 /// Time to wait for the intake before runs and ends of unknown jobs are discarded, in milliseconds. Longer
 /// than a claim takes. Without a limit they would keep all later ends of the worker from being acknowledged.
 const UNREAD_JOB_MS: u64 = 5_000;
+/// Error of the estimate of a worker's clock that is logged, in milliseconds.
+const CLOCK_ERROR_MS: u64 = 500;
 /// Time after which a stop without effect is repeated, in milliseconds.
 const STOP_REPEAT_MS: u64 = 1_500;
 
@@ -205,6 +207,14 @@
             self.reset_worker(now, key, status.started_ms, "poll");
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
+        if let Some((age, off)) =
+            worker.clock_error(now, status.clock_ms).filter(|(_, off)| *off > CLOCK_ERROR_MS)
+        {
+            log::info!(
+                worker = worker.record.worker.as_str(), age_ms = age, off_ms = off, runs = worker.runs.len();
+                "the worker's clock was estimated wrongly"
+            );
+        }
         worker.process_start = worker.process_start.max(status.started_ms);
         worker.record_contact(sent, at, wait_ms, status.clock_ms);
         worker.ack_received = worker.ack_received.max(worker.ack_sent);
