Grant leases only by a recent reading of the worker's clock

Cause: the owner added its own elapsed time to a reading of the worker's clock that was as old as the worker had been idle. The estimate of a clock that is 2% slow was 1.5 s ahead, so the lease ended 1.5 s later than the owner assumed.

Change: polls carry a lease only if the last answer is at most 0.7 s old, or 1.7 s while a poll is held open; otherwise the worker is polled first. The drift within that time is 34 ms, for which the margin of 500 ms allows many times over. The directory's clock, which is as old as the last heartbeat, is not used any more.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -27,7 +27,7 @@
 /// Time to wait for the intake before runs and ends of unknown jobs are discarded, in milliseconds. Longer
 /// than a claim takes. Without a limit they would keep all later ends of the worker from being acknowledged.
 const UNREAD_JOB_MS: u64 = 5_000;
-/// Error of the estimate of a worker's clock that is logged, in milliseconds.
+/// Error of a recent estimate of a worker's clock that is logged, in milliseconds. Leases allow for this much.
 const CLOCK_ERROR_MS: u64 = 500;
 /// Time after which a stop without effect is repeated, in milliseconds.
 const STOP_REPEAT_MS: u64 = 1_500;
@@ -136,10 +136,8 @@
             let clock = worker.clock_at(at, self.options.poll_wait_ms);
             let held = clock.is_some() && !worker.runs.is_empty() && worker.pending_ack.is_none();
             // A worker that does not answer gets no new lease; otherwise its runs could never be given up.
-            let renews = !worker.runs.is_empty() && worker.missed_polls == 0;
-            let reading = worker.contact.filter(|_| renews);
-            let deadline_ms = reading
-                .map(|contact| contact.clock_ms + now.saturating_sub(contact.read) + self.options.lease_ms);
+            let deadline_ms =
+                clock.filter(|_| !worker.runs.is_empty()).map(|clock| clock + self.options.lease_ms);
             if deadline_ms.is_some() {
                 worker.grant(now, self.options.lease_ms);
             }
@@ -207,11 +205,11 @@
             self.reset_worker(now, key, status.started_ms, "poll");
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if let Some((age, off)) =
-            worker.clock_error(now, status.clock_ms).filter(|(_, off)| *off > CLOCK_ERROR_MS)
-        {
-            log::info!(
-                worker = worker.record.worker.as_str(), age_ms = age, off_ms = off, runs = worker.runs.len();
+        let estimate = worker.clock_at(at, self.options.poll_wait_ms);
+        let off_ms = estimate.map_or(0, |estimate| estimate.abs_diff(status.clock_ms));
+        if off_ms > CLOCK_ERROR_MS {
+            log::warn!(
+                worker = worker.record.worker.as_str(), off_ms = off_ms, runs = worker.runs.len();
                 "the worker's clock was estimated wrongly"
             );
         }
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -266,15 +266,6 @@
         (at.since(contact.at) <= allowed).then(|| contact.clock_ms + at.steady.saturating_sub(contact.read))
     }
 
-    /// Age of the last reading of the worker's clock, and how far an estimate by it is from a new reading; both in
-    /// milliseconds.
-    #[must_use]
-    pub fn clock_error(&self, now: u64, clock_ms: u64) -> Option<(u64, u64)> {
-        let contact = self.contact?;
-        let age = now.saturating_sub(contact.read);
-        Some((age, clock_ms.abs_diff(contact.clock_ms + age)))
-    }
-
     /// Records an answer to a poll that the worker could hold for `wait_ms`. One that took longer may have waited in this
     /// process, so only the time at which it was asked for counts.
     pub fn record_contact(&mut self, sent: Moment, at: Moment, wait_ms: u64, clock_ms: u64) {
