Wait for the former owner's leases with each adopted run

Callers would see a task at work on two workers: a new owner that reads a submission after its progress adopts the placed tasks then, and took the lease of their worker for over if the directory had shown the worker before.

Cause: the wait was set where a worker is created for a placement, not where a run is adopted.

Change: adopting a run sets the wait of its worker. A worker that answers ends the wait with its list, as before.

Test: takeover::a_job_whose_submission_is_read_after_the_claim_waits_for_the_leases_of_its_worker; before, the task ran twice 10 ms after the submission was read.

--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -73,14 +73,18 @@
         let pool = self.pools.intern(&record.pool);
         let mut worker = Worker::new(record, pool, now);
         worker.listed = false;
-        worker.grant(now, self.options.store_timeout_ms + self.options.lease_ms);
         let key = self.workers.insert(worker);
         self.keys_by_id.insert(place.worker.clone(), key);
         key
     }
 
+    /// Adds the run of a placed task. The former owner may have granted its worker a lease until just before it lost the
+    /// store.
     fn adopt_run(&mut self, now: u64, key: WorkerKey, task: TaskId, row: &Task) {
         let Some(run) = self.new_run(now, task, row.run) else { return };
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.grant(now, self.options.store_timeout_ms + self.options.lease_ms);
+        }
         let former_stop = FormerStop::Possible;
         // One poll that does not list the run suffices to requeue its task, since the worker answers under the
         // new epoch.
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -363,6 +363,24 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
 
+/// Guards against a task that is started elsewhere because its worker, which does not answer, has no known lease.
+#[test]
+fn a_job_whose_submission_is_read_after_the_claim_waits_for_the_leases_of_its_worker() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(1, cores(1), 30_000)]));
+    world.run_for(1_000);
+    let worker = world.starts[0].3.clone();
+    world.workers.get_mut(&worker).expect("it is known").partitioned = true;
+    take_over_without(&mut world, 1);
+    world.run_for(500);
+    read_late(&mut world, 1);
+    for _ in 0..2_000 {
+        world.round();
+        assert_eq!(world.running_twice(), [], "at {} ms", world.now);
+    }
+    assert_eq!(world.starts.len(), 2);
+}
+
 /// The end of a task whose job was not read yet was acknowledged and then lost.
 #[test]
 fn an_end_that_is_listed_before_its_submission_is_read_counts() {
