Log the size of a write that the store does not take

The store's refusal of a write of the owner was logged without what was in it, so a store that turns the instance away could not be told from a record that it never takes.

--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -140,8 +140,12 @@
                 }
                 Err(error) => {
                     self.handle.meters.retried("write_not_stored");
+                    let largest = entries.iter().max_by_key(|entry| entry.size());
                     log::warn!(
-                        error:% = error, topic:? = topic, sequence = fence.sequence;
+                        error:% = error, topic:? = topic, sequence = fence.sequence, records = entries.len(),
+                        bytes = entries.iter().map(Entry::size).sum::<usize>(),
+                        largest = largest.map_or("", |entry| entry.key.as_str()),
+                        largest_bytes = largest.map_or(0, Entry::size);
                         "a write could not be stored and is retried"
                     );
                     sleep(RETRY_DELAY).await;
