Store the progress of large jobs in parts, and begin occurrences as room allows

Cause: the progress of a job was one record with all occurrences that had begun, and each began when it was due. Past the largest record that the store takes, the owner repeated the same write for ever, and everything else waits behind it.

Change: a progress of more than an eighth of that is stored in parts of 128 tasks, each within the limit whatever ids and checkpoints the workers report; only parts that changed are written. They come before the record of the job and are deleted after it, which tells a new owner what an incomplete write lacks. An occurrence begins once its tasks could be placed, so that memory and the work of a pass stay bounded too. No record can exceed the limit any more, and a job that can't be placed no longer grows with time.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 pub mod event;
 mod names;
 pub mod options;
+mod parts;
 mod systems;
 pub mod worker;
 
@@ -20,12 +21,13 @@
 
 use crate::catalog::{Catalog, Queue, Team};
 use crate::ids::{JobId, TaskId};
-use crate::record::{self, Entry, progress};
+use crate::record::{self, Entry};
 use crate::spec::Resources;
 use crate::table::{Phase, Table};
 use command::Command;
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
+use parts::StoredParts;
 use systems::{Durations, Fleet, PolicyTickets, StaleJobs, Track};
 pub use systems::{PoolLoad, WaveProgress};
 use worker::{Moment, PollState, Worker, WorkerKey};
@@ -116,6 +118,7 @@
     ended: VecDeque<(u64, JobId)>,
     /// Jobs whose progress is not part of a write yet.
     dirty_jobs: BTreeSet<JobId>,
+    stored_parts: StoredParts,
     stale_jobs: StaleJobs,
     dirty_waves: BTreeSet<u64>,
     /// True if the owner's record is to be written again. The store refuses that write if there is a newer
@@ -200,6 +203,7 @@
             tracks: BTreeMap::new(),
             ended: VecDeque::new(),
             dirty_jobs: BTreeSet::new(),
+            stored_parts: StoredParts::default(),
             stale_jobs: StaleJobs::default(),
             dirty_waves: BTreeSet::new(),
             owner_dirty: false,
@@ -350,10 +354,10 @@
         for id in std::mem::take(&mut self.dirty_jobs) {
             match self.table.get(id) {
                 Some(job) => {
-                    entries.push(progress(id, &job.progress));
+                    self.stored_parts.store(job, self.options.whole_bytes, &mut entries);
                     states.push((id, job.progress.started, job.progress.phase));
                 }
-                None => entries.push(Entry { key: id.to_string(), value: Vec::new() }),
+                None => self.stored_parts.delete(id, &mut entries),
             }
         }
         for number in std::mem::take(&mut self.dirty_waves) {
--- a/crates/jobs/src/dispatch/options/mod.rs
+++ b/crates/jobs/src/dispatch/options/mod.rs
@@ -1,4 +1,12 @@
-//! Timing options of the dispatcher, in milliseconds.
+//! Options of the dispatcher. Times are in milliseconds.
+
+use crate::table::PART_TASKS;
+
+/// Largest part of a record that a progress may take to be stored whole.
+const WHOLE_DIVISOR: usize = 8;
+/// Largest size of a stored task without its checkpoint, in bytes. The id of a worker is a key of the store, which has at
+/// most 255 bytes.
+const MAX_TASK_BYTES: usize = 320;
 
 /// Options of a dispatcher.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,6 +40,10 @@
     pub list_ms: u64,
     /// Interval between two reads of that list while machines have orders or workers with runs do not answer.
     pub list_busy_ms: u64,
+    /// Size from which the progress of a job is stored in parts, in bytes.
+    pub whole_bytes: usize,
+    /// Longest checkpoint that is stored, in bytes.
+    pub checkpoint_bytes: usize,
 }
 
 impl Default for Options {
@@ -52,6 +64,20 @@
             handover_ms: 3_500,
             list_ms: 1_000,
             list_busy_ms: 300,
+            whole_bytes: 0,
+            checkpoint_bytes: 0,
         }
+        .with_record_bytes(256 << 10)
+    }
+}
+
+impl Options {
+    /// Sets the sizes of stored progress for records of this size, in bytes. Parts stay within it, whatever their tasks
+    /// report; a progress far below it is stored whole, so that small changes do not write large records.
+    #[must_use]
+    pub const fn with_record_bytes(mut self, bytes: usize) -> Self {
+        self.whole_bytes = bytes / WHOLE_DIVISOR;
+        self.checkpoint_bytes = (bytes / PART_TASKS).saturating_sub(MAX_TASK_BYTES);
+        self
     }
 }
--- a/crates/jobs/src/dispatch/systems/backlog.rs
+++ b/crates/jobs/src/dispatch/systems/backlog.rs
@@ -10,6 +10,13 @@
 use crate::spec::Submission;
 use crate::table::{Occurrence, Phase, Progress, TaskState};
 
+/// Waiting tasks of a repeated job from which no further occurrence begins unless a step has none. More than the starts
+/// that may be unanswered, so that room is used as soon as it is free.
+const MAX_WAITING_TASKS: u64 = 4_096;
+/// Largest number of tasks of a repeated job in occurrences that have begun. Bounds the memory for a job of which a step
+/// can never run.
+const MAX_BEGUN_TASKS: u64 = 100_000;
+
 /// Active job. The terms are those of the present configuration.
 #[derive(Clone, Copy, Debug)]
 pub(in super::super) struct Track {
@@ -23,6 +30,8 @@
     pub(super) priority: u32,
     /// Team that it is accounted to.
     pub(super) team: Option<TeamKey>,
+    /// True once it was logged that occurrences wait for earlier ones.
+    pub(super) wait_logged: bool,
     pub(super) backlog: Backlog,
 }
 
@@ -63,6 +72,10 @@
     pub(super) min_workers: u64,
     /// True if a step runs until the job is cancelled.
     pub(super) long_running: bool,
+    /// True if a step that depends on no other has no waiting tasks.
+    pub(super) exhausted: bool,
+    /// Tasks of the occurrences that have begun and are not done.
+    pub(super) begun: u64,
     /// Longest chain of steps with waiting tasks.
     pub(super) chain: Chain,
 }
@@ -85,9 +98,30 @@
             }
         }
         backlog.long_running = submission.steps.iter().any(|step| step.long_running);
+        backlog.exhausted = submission.steps.iter().enumerate().any(|(number, step)| {
+            let waits = |occurrence: &Occurrence| {
+                occurrence.step(submission, number).iter().any(|task| task.state == TaskState::Waiting)
+            };
+            step.after.is_empty() && !progress.occurrences.iter().any(waits)
+        });
+        backlog.begun = progress.occurrences.iter().map(|occurrence| occurrence.tasks.len() as u64).sum();
         backlog
     }
 
+    /// True if another occurrence with this many tasks may begin. While each step that depends on no other has waiting
+    /// tasks, many more of them can't be placed either.
+    pub(super) const fn admits(&self, tasks: u64) -> bool {
+        let useful = self.exhausted || self.waiting < MAX_WAITING_TASKS;
+        useful && (self.begun == 0 || self.begun + tasks <= MAX_BEGUN_TASKS)
+    }
+
+    /// Counts an occurrence whose tasks all wait.
+    pub(super) const fn add_new_occurrence(&mut self, tasks: u64) {
+        self.waiting += tasks;
+        self.begun += tasks;
+        self.exhausted = false;
+    }
+
     /// Adds the waiting tasks of an occurrence. Returns its longest chain of steps with waiting tasks.
     fn add_occurrence(&mut self, submission: &Submission, occurrence: &Occurrence) -> Chain {
         let mut ends: Vec<Chain> = Vec::with_capacity(submission.steps.len());
--- a/crates/jobs/src/dispatch/systems/durations.rs
+++ b/crates/jobs/src/dispatch/systems/durations.rs
@@ -115,7 +115,7 @@
     /// Median of the times that the running tasks of the same step on other workers will take by their progress.
     fn projected_ms(&self, now: u64, task: TaskId) -> Option<u64> {
         let job = self.table.get(task.job)?;
-        let occurrence = job.progress.occurrences.iter().find(|o| o.number == task.occurrence)?;
+        let occurrence = job.progress.occurrence(task.occurrence)?;
         let rows = occurrence.step(&job.submission, usize::from(task.step));
         let own = match &rows.get(usize::from(task.index))?.state {
             TaskState::Placed(place) => Some(&place.worker),
--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -63,7 +63,7 @@
         let Some(job) = self.table.get(task.job) else { return true };
         let step = &job.submission.steps[usize::from(task.step)];
         let max = step.max_unavailable.unwrap_or(DEFAULT_MAX_UNAVAILABLE);
-        let Some(occurrence) = job.progress.occurrences.iter().find(|o| o.number == task.occurrence) else {
+        let Some(occurrence) = job.progress.occurrence(task.occurrence) else {
             return true;
         };
         let rows = occurrence.step(&job.submission, usize::from(task.step));
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -29,32 +29,46 @@
         self.end_job(now, id, Phase::Canceled);
     }
 
-    /// Begins the occurrences that are due.
+    /// Begins the occurrences that are due, as far as their tasks can be placed.
     pub(in super::super) fn begin_occurrences(&mut self, now: u64) {
         let unix = u64::try_from(i64::try_from(now).unwrap_or(0) + self.unix_offset).unwrap_or(0);
         if self.scheduled.is_empty() {
             return;
         }
         for id in std::mem::take(&mut self.scheduled) {
-            let Some(job) = self.table.get_mut(id) else { continue };
+            let (Some(job), Some(track)) = (self.table.get_mut(id), self.tracks.get_mut(&id)) else {
+                continue;
+            };
             let Some(schedule) = job.submission.schedule else { continue };
             if job.progress.phase != Phase::Active {
                 continue;
             }
-            let mut begun = false;
+            let tasks = job.submission.tasks() as u64;
+            let mut backlog = track.backlog;
+            let before = job.progress.begun;
             for _ in 0..MAX_BEGINS {
                 let number = job.progress.begun;
                 if number >= schedule.times || schedule.due_ms(number) > unix {
                     break;
                 }
+                if !backlog.admits(tasks) {
+                    if !std::mem::replace(&mut track.wait_logged, true) {
+                        log::info!(
+                            job:% = id, occurrence = number, waiting = backlog.waiting, begun = backlog.begun;
+                            "occurrences that are due wait for the tasks of earlier ones"
+                        );
+                    }
+                    break;
+                }
                 job.progress.occurrences.push(Occurrence::new(number, &job.submission));
                 job.progress.begun += 1;
-                begun = true;
+                backlog.add_new_occurrence(tasks);
             }
-            if job.progress.begun < schedule.times {
+            let begun = job.progress.begun;
+            if begun < schedule.times {
                 self.scheduled.insert(id);
             }
-            if begun {
+            if begun > before {
                 self.touch(id);
                 self.unchanged = false;
             }
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -297,7 +297,7 @@
         status: &WorkerStatus,
         unread: &BTreeSet<JobId>,
     ) {
-        let stop_ms = self.options.stop_ms;
+        let (stop_ms, checkpoint_bytes) = (self.options.stop_ms, self.options.checkpoint_bytes);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let mut lost = Vec::new();
         for (task, run) in &mut worker.runs {
@@ -314,7 +314,9 @@
                     }
                     run.progress = listed.progress;
                     run.former_stop = run.former_stop.after_listing(now, stop_ms);
-                    run.checkpoint.clone_from(&listed.checkpoint);
+                    if listed.checkpoint.len() <= checkpoint_bytes {
+                        run.checkpoint.clone_from(&listed.checkpoint);
+                    }
                     if !run.stopping {
                         run.next_order = None;
                     } else if run.last_change + STOP_REPEAT_MS < now {
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -128,6 +128,7 @@
         let step = &job.submission.steps[usize::from(task.step)];
         let (long_running, gang) = (step.long_running, step.gang);
         let attempts = self.terms(&job.submission).attempts;
+        let checkpoint_bytes = self.options.checkpoint_bytes;
         let Some(job) = self.table.get_mut(task.job) else { return };
         let Some(row) = job.progress.task_mut(&job.submission, task) else { return };
         let current = row.placed() && row.run == end.run && run.is_some();
@@ -142,7 +143,9 @@
             row.state = TaskState::Waiting;
             let listed = run.map(|run| run.checkpoint).unwrap_or_default();
             let newest = if end.checkpoint.is_empty() { listed } else { end.checkpoint.clone() };
-            if !newest.is_empty() {
+            if newest.len() > checkpoint_bytes {
+                log::warn!(task:% = task, bytes = newest.len(); "the checkpoint is too large to be stored");
+            } else if !newest.is_empty() {
                 row.checkpoint = newest;
             }
         }
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -21,7 +21,10 @@
             self.adopt_job(now, id);
         }
         // The former owner deleted their submissions and had no time to delete their progress.
-        self.dirty_jobs.extend(self.table.take_ended_orphans());
+        for id in self.table.take_ended_orphans() {
+            self.stored_parts.adopt(id, &self.table.take_parts(id));
+            self.dirty_jobs.insert(id);
+        }
         log::info!(
             epoch = self.epoch, jobs = self.table.jobs().count(), workers = self.workers.len();
             "this instance owns the work"
@@ -30,6 +33,7 @@
 
     /// Takes over the placed tasks of a job.
     pub(super) fn adopt_job(&mut self, now: u64, id: JobId) {
+        self.stored_parts.adopt(id, &self.table.add_parts(id));
         for (task, row) in self.placed_tasks(id) {
             let TaskState::Placed(place) = row.state.clone() else { continue };
             let key = self.worker_for(now, &place);
@@ -117,6 +121,7 @@
             pool: self.pools.intern(&terms.pool),
             priority: terms.priority,
             team,
+            wait_logged: false,
             backlog: Backlog::default(),
         };
         self.tracks.insert(id, track);
--- a/crates/jobs/src/ids/mod.rs
+++ b/crates/jobs/src/ids/mod.rs
@@ -1,17 +1,18 @@
-//! Identifiers of jobs and tasks.
+//! Identifiers of jobs, tasks and parts of a job's progress.
 //!
-//! Callers choose the id of a job; a task is identified by its position in the job. Each has one text form, used in
-//! stored records, in logs and by workers.
+//! Callers choose the id of a job; tasks and parts are identified by their position in the job. Each has one text form,
+//! used in stored records, in logs and by workers.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Text that is not a valid job or task id.
+/// Text that is not a valid id.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("not a job or task id")]
+#[error("not a valid id")]
 pub struct BadId;
 
 /// Job id, chosen by the caller. Text form: 16 lowercase hexadecimal digits.
@@ -66,3 +67,42 @@
         if parts.next().is_some() { Err(BadId) } else { Ok(Self { job, occurrence, step, index }) }
     }
 }
+
+/// Part of the progress of an occurrence: some of its tasks. Text form: `job.occurrence.first`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PartId {
+    /// Job that the part belongs to.
+    pub job: JobId,
+    /// Occurrence of the job's schedule.
+    pub occurrence: u32,
+    /// Position of its first task among the tasks of all steps.
+    pub first: u32,
+}
+
+impl PartId {
+    /// All parts of a job.
+    #[must_use]
+    pub const fn all_of(job: JobId) -> RangeInclusive<Self> {
+        let first = Self { job, occurrence: 0, first: 0 };
+        first..=Self { job, occurrence: u32::MAX, first: u32::MAX }
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.first)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        let mut fields = text.split('.');
+        let mut next = || fields.next().ok_or(BadId);
+        let job = next()?.parse()?;
+        let occurrence = next()?.parse().map_err(|_| BadId)?;
+        let first = next()?.parse().map_err(|_| BadId)?;
+        if fields.next().is_some() { Err(BadId) } else { Ok(Self { job, occurrence, first }) }
+    }
+}
--- a/crates/jobs/src/node/view/mod.rs
+++ b/crates/jobs/src/node/view/mod.rs
@@ -8,7 +8,8 @@
 use super::state::Role;
 use crate::ids::JobId;
 use crate::ports::Platform;
-use crate::table::{self, JobState, TaskState, each_task};
+use crate::spec::Submission;
+use crate::table::{JobState, Progress, TaskState, each_task};
 
 /// Query from an operator.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -70,7 +71,9 @@
     fn view_job(&self, id: JobId) -> Option<Job> {
         let now = self.now();
         let state = self.state.borrow();
-        let Some(job) = state.table().and_then(|table| table.get(id)) else {
+        let table = state.table();
+        let Some((job, progress)) = table.and_then(|table| Some((table.get(id)?, table.whole_progress(id)?)))
+        else {
             return state.summaries.summary(id).map(|summary| Job {
                 id: id.to_string(),
                 queue: summary.queue.clone(),
@@ -93,8 +96,8 @@
             queue: job.submission.queue.clone(),
             team: job.submission.team.clone(),
             state: name(job.state()).to_owned(),
-            steps: steps(job),
-            places: places(job),
+            steps: steps(&job.submission, &progress),
+            places: places(&job.submission, &progress),
             reasons,
         })
     }
@@ -104,11 +107,11 @@
     counts.into_iter().map(|(name, count)| Count { name: name.to_owned(), count }).collect()
 }
 
-fn steps(job: &table::Job) -> Vec<Step> {
+fn steps(submission: &Submission, progress: &Progress) -> Vec<Step> {
     let mut rows = Vec::new();
-    for occurrence in &job.progress.occurrences {
-        for step in 0..job.submission.steps.len() {
-            let tasks = occurrence.step(&job.submission, step);
+    for occurrence in &progress.occurrences {
+        for step in 0..submission.steps.len() {
+            let tasks = occurrence.step(submission, step);
             let count = |wanted: fn(&TaskState) -> bool| {
                 tasks.iter().filter(|task| wanted(&task.state)).count() as u64
             };
@@ -125,8 +128,8 @@
     rows
 }
 
-fn places(job: &table::Job) -> Vec<Placement> {
-    let tasks = job.progress.occurrences.iter().flat_map(|occurrence| each_task(&job.submission, occurrence));
+fn places(submission: &Submission, progress: &Progress) -> Vec<Placement> {
+    let tasks = progress.occurrences.iter().flat_map(|occurrence| each_task(submission, occurrence));
     tasks
         .filter_map(|(id, task)| match &task.state {
             TaskState::Placed(place) => {
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -2,17 +2,17 @@
 //!
 //! Two keyed topics hold all durable state. `Intake` contains submissions and cancellations and is written by every
 //! entry instance. `Progress` contains the state of jobs, machines and waves and is written only by the owner, fenced
-//! by its epoch. `Summaries` repeats the states of jobs in short records for instances that only serve callers. Each
+//! by its epoch; the state of a large job is divided into parts. `Summaries` repeats the states of jobs in short records for instances that only serve callers. Each
 //! record is the whole state of its key, so a reader may skip records as long as it reads the newest one of each key.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::dispatch::WaveProgress;
-use crate::ids::JobId;
+use crate::ids::{JobId, PartId};
 use crate::spec::Submission;
 use crate::summary::{Summary, SummaryChange};
-use crate::table::Progress;
+use crate::table::{Progress, Task};
 
 /// Version of the encoding, stored in the first byte of each record.
 const VERSION: u8 = 1;
@@ -118,6 +118,10 @@
     Order(String, LastOrder),
     /// A job was deleted.
     Dropped(JobId),
+    /// Tasks of a part of a job's progress.
+    Part(PartId, Vec<Task>),
+    /// A part was deleted.
+    PartDropped(PartId),
 }
 
 fn encode(value: &impl Serialize) -> Vec<u8> {
@@ -156,6 +160,18 @@
     Entry { key: id.to_string(), value: encode(progress) }
 }
 
+/// Creates the record of a part of a job's progress.
+#[must_use]
+pub fn part(id: PartId, tasks: &[Task]) -> Entry {
+    Entry { key: id.to_string(), value: encode(&tasks) }
+}
+
+/// Creates the record that deletes a part of a job's progress.
+#[must_use]
+pub fn dropped_part(id: PartId) -> Entry {
+    Entry { key: id.to_string(), value: Vec::new() }
+}
+
 /// Creates the owner record, for `Progress` and `Summaries`.
 #[must_use]
 pub fn owner(owner: &Owner) -> Entry {
@@ -243,6 +259,14 @@
     if let Some(machine) = entry.key.strip_prefix(ORDER_KEY) {
         return Ok(Change::Order(machine.to_owned(), decode(&entry.value)?));
     }
+    if let Ok(part) = entry.key.parse::<PartId>() {
+        let deleted = entry.value.is_empty();
+        return Ok(if deleted {
+            Change::PartDropped(part)
+        } else {
+            Change::Part(part, decode(&entry.value)?)
+        });
+    }
     let id: JobId = entry.key.parse().map_err(|_| BadRecord::Key)?;
     if entry.value.is_empty() {
         return Ok(Change::Dropped(id));
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -12,11 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::WaveProgress;
-use crate::ids::JobId;
+use crate::ids::{JobId, PartId};
 use crate::record::{Change, Intake, LastOrder, Owner};
 use crate::spec::Submission;
 
-pub use progress::{Occurrence, Phase, Placement, Progress, Task, TaskState, each_task};
+pub use progress::{Occurrence, PART_TASKS, Phase, Placement, Progress, Task, TaskState, each_task};
 
 /// State of a job as callers see it, in the order in which a job passes through them. Stored records contain the
 /// index of the variant.
@@ -91,6 +91,8 @@
     jobs: BTreeMap<JobId, Job>,
     /// Progress and cancellations that were read before the submission.
     early: BTreeMap<JobId, Progress>,
+    /// Parts of progress that were read and not added to a job yet.
+    parts: BTreeMap<PartId, Vec<Task>>,
     canceled: BTreeSet<JobId>,
     /// Owner according to the newest owner record that was read.
     pub owner: Owner,
@@ -170,7 +172,38 @@
                 self.orders.insert(machine, at);
             }
             Change::Dropped(id) => self.remove(id),
+            Change::Part(part, tasks) => {
+                self.parts.insert(part, tasks);
+            }
+            Change::PartDropped(part) => {
+                self.parts.remove(&part);
+            }
+        }
+    }
+
+    /// Adds the parts that were read for a job to its progress. Returns them.
+    pub fn add_parts(&mut self, id: JobId) -> BTreeMap<PartId, Vec<Task>> {
+        let parts = self.take_parts(id);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.progress.add_parts(&job.submission, parts.clone());
         }
+        parts
+    }
+
+    /// Progress of a job with the parts that were read for it.
+    #[must_use]
+    pub fn whole_progress(&self, id: JobId) -> Option<Progress> {
+        let job = self.get(id)?;
+        let parts = self.parts.range(PartId::all_of(id)).map(|(part, tasks)| (*part, tasks.clone()));
+        let mut progress = job.progress.clone();
+        progress.add_parts(&job.submission, parts.collect());
+        Some(progress)
+    }
+
+    /// Removes the parts that were read for a job.
+    pub fn take_parts(&mut self, id: JobId) -> BTreeMap<PartId, Vec<Task>> {
+        let keys: Vec<PartId> = self.parts.range(PartId::all_of(id)).map(|(part, _)| *part).collect();
+        keys.into_iter().filter_map(|part| Some((part, self.parts.remove(&part)?))).collect()
     }
 
     /// Removes a job and all that was read about it.
@@ -178,6 +211,7 @@
         self.jobs.remove(&id);
         self.early.remove(&id);
         self.canceled.remove(&id);
+        self.take_parts(id);
     }
 
     /// Removes the progress of ended jobs without a submission and returns their ids. Meaningful only once the intake
--- a/crates/jobs/src/table/progress.rs
+++ b/crates/jobs/src/table/progress.rs
@@ -1,10 +1,20 @@
 //! Progress of a job: the states of its tasks.
+//!
+//! A large progress is stored in parts. A write stores the parts before the record of the job, which counts the occurrences
+//! that have begun, and deletes the parts of occurrences that are done after it. If a write is stored incompletely, an
+//! occurrence may lack parts. If it counts as begun, these were deleted and their tasks are done; if not, they were not
+//! stored yet and their tasks wait.
+
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::TaskId;
+use crate::ids::{PartId, TaskId};
 use crate::spec::Submission;
 
+/// Number of tasks in a part. All owners use the same, so that parts of two owners never overlap.
+pub const PART_TASKS: usize = 128;
+
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
@@ -52,8 +62,8 @@
 }
 
 impl Task {
-    const fn new() -> Self {
-        Self { state: TaskState::Waiting, run: 0, failed: 0, checkpoint: String::new() }
+    const fn new(state: TaskState) -> Self {
+        Self { state, run: 0, failed: 0, checkpoint: String::new() }
     }
 
     /// Records the failure of a run. False if it was recorded before.
@@ -95,7 +105,7 @@
     pub started: bool,
     /// Number of occurrences that have begun.
     pub begun: u32,
-    /// Occurrences that have begun and are not done.
+    /// Occurrences that have begun and are not done, in the order of their numbers.
     pub occurrences: Vec<Occurrence>,
 }
 
@@ -103,7 +113,7 @@
     /// Creates an occurrence in which all tasks wait.
     #[must_use]
     pub fn new(number: u32, submission: &Submission) -> Self {
-        Self { number, tasks: vec![Task::new(); submission.tasks()] }
+        Self { number, tasks: vec![Task::new(TaskState::Waiting); submission.tasks()] }
     }
 
     /// Tasks of a step.
@@ -145,13 +155,60 @@
     #[must_use]
     pub fn task(&self, submission: &Submission, id: TaskId) -> Option<&Task> {
         let index = Self::index(submission, id)?;
-        self.occurrences.iter().find(|o| o.number == id.occurrence)?.tasks.get(index)
+        self.occurrence(id.occurrence)?.tasks.get(index)
+    }
+
+    /// Looks up an occurrence that has begun and is not done.
+    #[must_use]
+    pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        let position = self.occurrences.binary_search_by_key(&number, |occurrence| occurrence.number);
+        self.occurrences.get(position.ok()?)
+    }
+
+    /// Progress without the tasks, which are stored in parts.
+    #[must_use]
+    pub const fn head(&self) -> Self {
+        Self { phase: self.phase, started: self.started, begun: self.begun, occurrences: Vec::new() }
+    }
+
+    /// Parts that hold the tasks.
+    pub fn parts(&self, submission: &Submission) -> impl Iterator<Item = (PartId, &[Task])> {
+        let job = submission.id;
+        self.occurrences.iter().flat_map(move |occurrence| {
+            let firsts = (0_u32..).step_by(PART_TASKS);
+            let part = move |first| PartId { job, occurrence: occurrence.number, first };
+            firsts.map(part).zip(occurrence.tasks.chunks(PART_TASKS))
+        })
+    }
+
+    /// Adds the occurrences of stored parts. If the record of the job has occurrences itself, it was written before the
+    /// parts were complete, and they do not count.
+    pub fn add_parts(&mut self, submission: &Submission, parts: BTreeMap<PartId, Vec<Task>>) {
+        if !self.occurrences.is_empty() {
+            return;
+        }
+        let begun = self.begun;
+        for (part, tasks) in parts {
+            let number = part.occurrence;
+            if self.occurrences.last().is_none_or(|last| last.number != number) {
+                let state = if number < begun { TaskState::Done } else { TaskState::Waiting };
+                let missing = vec![Task::new(state); submission.tasks()];
+                self.occurrences.push(Occurrence { number, tasks: missing });
+                self.begun = self.begun.max(number + 1);
+            }
+            let Some(occurrence) = self.occurrences.last_mut() else { continue };
+            let first = usize::try_from(part.first).unwrap_or(usize::MAX);
+            for (slot, task) in occurrence.tasks.iter_mut().skip(first).zip(tasks) {
+                *slot = task;
+            }
+        }
     }
 
     /// Looks up a task for a change.
     pub fn task_mut(&mut self, submission: &Submission, id: TaskId) -> Option<&mut Task> {
         let index = Self::index(submission, id)?;
-        self.occurrences.iter_mut().find(|o| o.number == id.occurrence)?.tasks.get_mut(index)
+        let position = self.occurrences.binary_search_by_key(&id.occurrence, |occurrence| occurrence.number);
+        self.occurrences.get_mut(position.ok()?)?.tasks.get_mut(index)
     }
 
     fn index(submission: &Submission, id: TaskId) -> Option<usize> {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -47,6 +47,8 @@
 const ACCURATE_PERMILLE: u64 = 1_000;
 /// Longest lease that a worker grants, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
+/// Largest record that the store takes, in bytes.
+const RECORD_BYTES: usize = 262_144;
 /// Duration of a move or of upkeep, in milliseconds.
 const MACHINE_MS: u64 = 1_500;
 
@@ -95,6 +97,7 @@
 pub(crate) struct World {
     pub(crate) now: u64,
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) options: Options,
     pub(crate) workers: BTreeMap<String, Worker>,
     directory: Directory,
     pub(crate) machines: BTreeMap<String, (Machine, Option<(u64, String)>)>,
@@ -120,6 +123,8 @@
     /// Jobs whose runs fail.
     pub(crate) failing_jobs: BTreeSet<JobId>,
     pub(crate) metrics: BTreeMap<TaskId, u64>,
+    /// Checkpoint that all runs report.
+    pub(crate) checkpoint: String,
     pub(crate) peak_cpu: u64,
     /// Time from a stop order until the run has ended.
     pub(crate) stop_ms: u64,
@@ -137,6 +142,8 @@
     pub(crate) intake_paused: bool,
     /// Jobs whose starts wait for their turn in the owner's process.
     pub(crate) deferred: BTreeSet<JobId>,
+    /// Tasks with a run that ended as done.
+    pub(crate) finished: BTreeSet<TaskId>,
     /// Times at which the first end of a task as done was acknowledged.
     pub(crate) done: BTreeMap<TaskId, u64>,
     /// Times at which the ends of a task as failed were acknowledged.
@@ -254,11 +261,12 @@
 
     pub(crate) fn with(catalog: Catalog, pools: &[(&str, usize)]) -> Self {
         let catalog = Arc::new(catalog);
-        let dispatcher =
-            Dispatcher::new(Options::default(), 1, Table::default(), Arc::clone(&catalog), 0, UNIX);
+        let options = Options::default();
+        let dispatcher = Dispatcher::new(options.clone(), 1, Table::default(), Arc::clone(&catalog), 0, UNIX);
         let mut world = Self {
             now: 0,
             dispatcher,
+            options,
             workers: BTreeMap::new(),
             directory: Directory::default(),
             machines: BTreeMap::new(),
@@ -279,6 +287,7 @@
             durations: BTreeMap::new(),
             failing_jobs: BTreeSet::new(),
             metrics: BTreeMap::new(),
+            checkpoint: String::new(),
             peak_cpu: 0,
             stop_ms: 0,
             delayed_orders: Vec::new(),
@@ -288,6 +297,7 @@
             intake_paused: false,
             deferred: BTreeSet::new(),
             unsent: VecDeque::new(),
+            finished: BTreeSet::new(),
             done: BTreeMap::new(),
             failures: BTreeMap::new(),
             speculative_jobs: BTreeSet::new(),
@@ -518,11 +528,39 @@
 
     /// Stores the records of a write.
     pub(crate) fn store(&mut self, write: &Write) {
-        for entry in &write.entries {
-            self.stored.insert(entry.key.clone(), entry.clone());
+        self.store_entries(&write.entries);
+    }
+
+    fn store_entries(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            // The length of the key takes a byte.
+            if entry.size() + 1 > RECORD_BYTES {
+                self.violations.push(format!("the record {} has {} bytes", entry.key, entry.size()));
+            }
+            if entry.value.is_empty() {
+                self.stored.remove(&entry.key);
+            } else {
+                self.stored.insert(entry.key.clone(), entry.clone());
+            }
         }
     }
 
+    /// Replaces the options of the owner and its successors.
+    pub(crate) fn set_options(&mut self, options: Options) {
+        self.dispatcher.set_options(options.clone());
+        self.options = options;
+    }
+
+    /// Replaces the owner while its next write is under way, of which only the first records are stored.
+    pub(crate) fn take_over_in_write(&mut self, stored: impl FnOnce(usize) -> usize) {
+        self.dispatcher.tick(self.now);
+        if let Some(write) = self.dispatcher.take_write(self.now) {
+            let count = stored(write.entries.len());
+            self.store_entries(&write.entries[..count]);
+        }
+        self.take_over();
+    }
+
     /// Replaces the owner by another instance that knows only what is stored.
     pub(crate) fn take_over(&mut self) {
         let instance = format!("node{}", self.epoch + 1);
@@ -545,8 +583,8 @@
         self.epoch += 1;
         table.owner = Owner { epoch: self.epoch, name: format!("{instance}-{}", self.epoch) };
         let catalog = Arc::clone(&self.catalog);
-        self.dispatcher =
-            Dispatcher::new(Options::default(), self.epoch, table, catalog, self.now, UNIX + self.now);
+        let options = self.options.clone();
+        self.dispatcher = Dispatcher::new(options, self.epoch, table, catalog, self.now, UNIX + self.now);
         self.publish_directory();
     }
 
@@ -594,6 +632,9 @@
                 let Some(run) = worker.runs.remove(&task) else { continue };
                 worker.count += 1;
                 let reason = if run.ends <= now { run.reason } else { EndReason::Lapsed };
+                if reason == EndReason::Done {
+                    self.finished.insert(task);
+                }
                 worker.times.insert(worker.count, now);
                 worker.record_finished(task, run.number);
                 worker.ended.push(EndedRun {
@@ -727,7 +768,7 @@
         let running = worker.runs.iter().map(|(task, run)| RunStatus {
             task: *task,
             run: run.number,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
             progress: progress(run, now),
             metric: metrics.get(task).copied().unwrap_or(0),
         });
