Take a restart of a worker from its own answer only

Callers would see tasks of a sound worker run on another one as well, after another writer left an entry under the worker's id with a start that is far too late.

Cause: a later start in the directory counted as proof of a restart.

Change: the directory only makes the owner poll the worker before anything else is sent to it; the answer names the process. An answer of an earlier process is ignored only if the later one has answered.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -33,8 +33,8 @@
 const STOP_REPEAT_MS: u64 = 1_500;
 
 impl Dispatcher {
-    /// Adds or updates a worker from its record in the directory. A record of an earlier process of the
-    /// worker is ignored.
+    /// Adds or updates a worker from its record in the directory. A record of an earlier process than the one that
+    /// answered is ignored.
     pub fn update_worker(&mut self, now: u64, record: WorkerRecord) {
         let Some(key) = self.worker_key(&record.worker) else {
             let id = record.worker.clone();
@@ -44,20 +44,21 @@
             self.unchanged = false;
             return;
         };
-        let Some(worker) = self.workers.get(key) else { return };
+        let Some(worker) = self.workers.get_mut(key) else { return };
         let (old, new) = (worker.process_start, record.started_ms);
-        if old != 0 && new != 0 && new < old {
+        if old != 0 && new != 0 && new < old && worker.contact.is_some() {
             return;
         }
-        if old != 0 && new > old {
-            self.reset_worker(now, key, new, "directory");
-        }
-        let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.record.address != record.address || !worker.listed {
             worker.poll_soon(now);
         }
+        if old != 0 && new > old {
+            // Only an answer of the worker proves that it has restarted.
+            worker.contact = None;
+            worker.fenced = false;
+            worker.poll_soon(now);
+        }
         worker.listed = true;
-        worker.process_start = worker.process_start.max(new);
         worker.pool = self.pools.intern(&record.pool);
         worker.record = record;
         self.unchanged = false;
@@ -75,13 +76,12 @@
     /// Resets a worker that restarted. Runs that the former process listed have ended with it. Any other start may have
     /// reached either process, so its run stays until the present one shows whether it has it. A start that may still be
     /// carried out is stopped there first.
-    fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64, seen_in: &'static str) {
+    fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         let oldest = worker.runs.values().map(|run| now.saturating_sub(run.placed)).max();
         log::info!(
             worker = worker.record.worker.as_str(), started_ms = started_ms, before_ms = worker.process_start,
-            seen_in = seen_in, silent_ms = worker.contact.map_or(u64::MAX, |contact| now.saturating_sub(contact.at.steady)),
-            runs = worker.runs.len(), oldest_run_ms = oldest.unwrap_or(0);
+            listed_ms = worker.record.started_ms, runs = worker.runs.len(), oldest_run_ms = oldest.unwrap_or(0);
             "the worker restarted"
         );
         worker.known_since = now;
@@ -198,11 +198,11 @@
         let at = self.moment(now);
         let Some(worker) = self.workers.get(key) else { return };
         let known = worker.process_start;
-        if known != 0 && status.started_ms != 0 && status.started_ms < known {
+        if worker.contact.is_some() && status.started_ms != 0 && status.started_ms < known {
             return;
         }
         if status.started_ms > known && known != 0 {
-            self.reset_worker(now, key, status.started_ms, "poll");
+            self.reset_worker(now, key, status.started_ms);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let estimate = worker.clock_at(at, self.options.poll_wait_ms);
@@ -213,7 +213,9 @@
                 "the worker's clock was estimated wrongly"
             );
         }
-        worker.process_start = worker.process_start.max(status.started_ms);
+        if status.started_ms != 0 {
+            worker.process_start = status.started_ms;
+        }
         worker.record_contact(sent, at, wait_ms, status.clock_ms);
         worker.ack_received = worker.ack_received.max(worker.ack_sent);
         let was_unresponsive = worker.missed_polls > 0;
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -182,8 +182,9 @@
 pub struct Worker {
     /// Its latest record in the directory.
     pub record: WorkerRecord,
-    /// Start of its newest process that was seen, in milliseconds since 1970; 0 if unknown. The directory shows a new
-    /// process some time after it takes orders.
+    /// Start of the process that answered last, or before an answer of the one on which tasks were placed or that the
+    /// directory shows, in milliseconds since 1970; 0 if unknown. The directory shows a new process some time after it
+    /// takes orders.
     pub process_start: u64,
     /// Pool in that record.
     pub pool: PoolKey,
@@ -286,9 +287,9 @@
         Placement { worker: self.record.worker.clone(), started_ms: self.process_start }
     }
 
-    /// True if the directory shows the newest process that was seen.
+    /// True if the directory shows the process that answered last.
     const fn record_is_current(&self) -> bool {
-        self.record.started_ms == 0 || self.record.started_ms >= self.process_start
+        self.record.started_ms == 0 || self.process_start == 0 || self.record.started_ms == self.process_start
     }
 
     /// Extends the end of the leases by a lease of this length that is sent now.
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -183,3 +183,36 @@
     assert_eq!(world.state(2), Some(JobState::Completed));
     assert!(world.workers[&worker].ended.is_empty(), "ends are still listed");
 }
+
+/// Guards against runs that are given up because another writer left an entry with a later start under their worker's id.
+#[test]
+fn an_entry_that_names_a_later_process_ends_no_run() {
+    let mut world = World::new(2);
+    let worker = used_worker(&mut world);
+    world.submit(job(2, vec![step(2, cores(1), 5_000)]));
+    run_checked(&mut world, 500);
+    let record = world.workers[&worker].record.clone();
+    for started_ms in [record.started_ms + 10, u64::MAX] {
+        world.dispatcher.update_worker(world.now, WorkerRecord { started_ms, ..record.clone() });
+        run_checked(&mut world, 700);
+    }
+    run_checked(&mut world, 5_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+    assert!(world.dispatcher.workers().all(|worker| worker.accepts_tasks(world.now)));
+}
+
+/// Guards against a worker that is never used because such an entry was seen before its own.
+#[test]
+fn a_worker_is_used_after_an_entry_with_a_later_start() {
+    let mut world = World::new(1);
+    let worker = world.worker_on("red-00");
+    let record = world.workers[&worker].record.clone();
+    world.dispatcher.update_worker(0, WorkerRecord { started_ms: u64::MAX, ..record });
+    world.take_over();
+    let record = world.workers[&worker].record.clone();
+    world.dispatcher.update_worker(0, WorkerRecord { started_ms: u64::MAX, ..record });
+    world.submit(job(1, vec![step(2, cores(1), 200)]));
+    run_checked(&mut world, 3_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
