Use an entry of the directory only if it names a worker that can exist

Here no process of a release build ended, but with overflow checks no job of any queue started any more after an entry with amounts near 2^64, also after a restart of all processes, and in a release build the same sums wrap around. Entries with impossible addresses were polled as workers.

Cause: the fields that are used were decoded by type only. Evidence: `attempt to add with overflow` in the sum of the workers' capacities, in a scratch script that leaves 31 odd entries.

Entries that name no worker are logged at both readers. Workers of unknown pools are not polled. The clock in an entry is not used any more and no longer decoded.

--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -22,8 +22,6 @@
     pub draining: bool,
     /// Start of the worker process, in milliseconds since 1970; 0 if unknown.
     pub started_ms: u64,
-    /// The worker's monotonic clock when it wrote the record, in milliseconds; 0 if unknown.
-    pub clock_ms: u64,
 }
 
 /// Status of a run that a worker lists.
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -306,6 +306,9 @@
         }
         self.index = Arc::new(CatalogIndex::new(&catalog));
         self.catalog = catalog;
+        for worker in self.workers.values_mut() {
+            worker.served = self.catalog.pool(&worker.record.pool).is_some();
+        }
         self.refresh_terms();
         self.unchanged = false;
     }
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -39,7 +39,8 @@
         let Some(key) = self.worker_key(&record.worker) else {
             let id = record.worker.clone();
             let pool = self.pools.intern(&record.pool);
-            let key = self.workers.insert(Worker::new(record, pool, now));
+            let served = self.catalog.pool(&record.pool).is_some();
+            let key = self.workers.insert(Worker { served, ..Worker::new(record, pool, now) });
             self.keys_by_id.insert(id, key);
             self.unchanged = false;
             return;
@@ -59,6 +60,7 @@
             worker.poll_soon(now);
         }
         worker.listed = true;
+        worker.served = self.catalog.pool(&record.pool).is_some();
         worker.pool = self.pools.intern(&record.pool);
         worker.record = record;
         self.unchanged = false;
@@ -129,7 +131,8 @@
             let PollState::Idle(due) = worker.poll_state else { continue };
             let ack_due = worker.acknowledged > worker.ack_received;
             let needed = !worker.responds() || ack_due || worker.unknown_since.is_some();
-            let wanted = worker.listed && needed || !worker.runs.is_empty();
+            // A record may name a pool that doesn't exist, or anything else as its address.
+            let wanted = worker.listed && worker.served && needed || !worker.runs.is_empty();
             if due > now || !wanted || worker.record.address.is_empty() {
                 continue;
             }
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -72,7 +72,6 @@
             capacity: Resources::default(),
             draining: false,
             started_ms: place.started_ms,
-            clock_ms: 0,
         };
         let pool = self.pools.intern(&record.pool);
         let mut worker = Worker::new(record, pool, now);
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -192,6 +192,8 @@
     pub known_since: u64,
     /// True while the directory lists it.
     pub listed: bool,
+    /// True while the configuration names its pool.
+    pub served: bool,
     /// True once it answered under the present epoch; it refuses orders of former owners from then on.
     pub fenced: bool,
     /// When it is polled next, or since when an answer is missing.
@@ -236,6 +238,7 @@
             pool,
             known_since: now,
             listed: true,
+            served: false,
             fenced: false,
             poll_state: PollState::Idle(now),
             missed_polls: 0,
--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -13,7 +13,7 @@
 use super::Node;
 use super::state::{Cursor, State, page_as_of};
 use crate::dispatch::event::WorkerRecord;
-use crate::ports::{Instruction, Machines, Page, Platform, Store, StoreError, Topic};
+use crate::ports::{Instruction, InvalidRecord, Machines, Page, Platform, Store, StoreError, Topic};
 use crate::record::Entry;
 
 /// Time for which a read waits for a record. An unresponsive store is detected after this time.
@@ -151,7 +151,7 @@
                     dispatcher.update_worker(now, record);
                 }
                 Err(invalid) => {
-                    log::debug!(key = invalid.key.as_str(), why = invalid.reason.as_str(); "a record of the worker directory cannot be decoded");
+                    log_invalid(&invalid);
                     dispatcher.unlist_worker(&entry.key);
                 }
             }
@@ -210,10 +210,16 @@
     pub(super) async fn read_directory(&self) -> Result<Vec<WorkerRecord>, StoreError> {
         let page = self.platform.store().newest(Topic::Directory).await?;
         let entries = page.entries.iter().filter(|(_, entry)| !entry.value.is_empty());
-        Ok(entries.filter_map(|(_, entry)| self.platform.worker_record(entry).ok()).collect())
+        let record = |entry| self.platform.worker_record(entry).inspect_err(log_invalid).ok();
+        Ok(entries.filter_map(|(_, entry)| record(entry)).collect())
     }
 }
 
+/// Logs a record of another writer among those of the workers. It is passed over.
+fn log_invalid(invalid: &InvalidRecord) {
+    log::warn!(key = invalid.key.as_str(), why = invalid.reason.as_str(); "a record of the worker directory cannot be decoded");
+}
+
 /// Wait of the next read. Zero after a failure, so that the recovery of the store is detected within the time limit of a
 /// read.
 pub(super) const fn next_wait<T>(read: &Result<T, StoreError>, wait: Duration) -> Duration {
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -14,6 +14,8 @@
 pub const MAX_TASKS: u32 = 1_000;
 /// Maximum payload size in bytes, as given by the callers' interface.
 pub const MAX_PAYLOAD: usize = 4_000;
+/// Largest amount of a resource. No worker has as much, and sums of amounts within it don't overflow.
+pub const MAX_AMOUNT: u64 = 1 << 40;
 /// Upper bound of a task's size in a progress record, in bytes: its state with a worker id, numbers and a checkpoint.
 const TASK_BYTES: usize = 96;
 
@@ -50,6 +52,12 @@
         self
     }
 
+    /// True if no amount exceeds [`MAX_AMOUNT`].
+    #[must_use]
+    pub const fn plausible(self) -> bool {
+        self.cpu <= MAX_AMOUNT && self.memory <= MAX_AMOUNT && self.accelerators <= MAX_AMOUNT
+    }
+
     /// True if no amount exceeds the available one.
     #[must_use]
     pub const fn fits(self, free: Self) -> bool {
--- a/crates/jobs/tests/model/mod.rs
+++ b/crates/jobs/tests/model/mod.rs
@@ -408,7 +408,7 @@
         let mut dispatcher =
             Dispatcher::new(Options::default(), self.store.epoch, table, catalog(), now, START_UNIX_MS + now);
         for worker in &self.workers {
-            dispatcher.update_worker(now, worker.record(now));
+            dispatcher.update_worker(now, worker.record());
         }
         self.owners.push(Owner { dispatcher, write: None });
     }
@@ -428,7 +428,7 @@
         let now = self.now;
         for owner in &mut self.owners {
             for worker in &self.workers {
-                owner.dispatcher.update_worker(now, worker.record(now));
+                owner.dispatcher.update_worker(now, worker.record());
             }
         }
     }
@@ -594,7 +594,7 @@
     format!("{name}@{worker}#{}{}", call.epoch, if call.lost { "?" } else { "" })
 }
 
-fn record(name: &str, cpu: u64, started_ms: u64, clock_ms: u64) -> WorkerRecord {
+fn record(name: &str, cpu: u64, started_ms: u64) -> WorkerRecord {
     WorkerRecord {
         worker: name.into(),
         address: name.into(),
@@ -604,6 +604,5 @@
         capacity: Resources { cpu, memory: 10_000, accelerators: 0 },
         draining: false,
         started_ms,
-        clock_ms,
     }
 }
--- a/crates/jobs/tests/model/worker.rs
+++ b/crates/jobs/tests/model/worker.rs
@@ -46,8 +46,8 @@
         *self = Self { name, started_ms, ..Self::new(0, cpu) };
     }
 
-    pub(super) fn record(&self, now: u64) -> WorkerRecord {
-        record(&self.name, self.cpu, self.started_ms, now)
+    pub(super) fn record(&self) -> WorkerRecord {
+        record(&self.name, self.cpu, self.started_ms)
     }
 
     pub(super) fn is_overcommitted(&self) -> bool {
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -66,7 +66,6 @@
             capacity: Resources { cpu: 16_000, memory: 64_000, accelerators: 0 },
             draining: false,
             started_ms: STARTED_MS,
-            clock_ms: self.clock(),
         })
     }
 
--- a/crates/jobs/tests/support/directory.rs
+++ b/crates/jobs/tests/support/directory.rs
@@ -23,12 +23,12 @@
 }
 
 impl Directory {
-    /// Writes the record of a worker if a heartbeat is due or more than its clock has changed.
+    /// Writes the record of a worker if a heartbeat is due or the record has changed.
     pub(super) fn write(&mut self, now: u64, record: WorkerRecord) {
-        let current = self.heartbeats.get(&record.worker).is_some_and(|heartbeat| {
-            let same = WorkerRecord { clock_ms: record.clock_ms, ..heartbeat.record.clone() } == record;
-            same && now < heartbeat.written + HEARTBEAT_MS
-        });
+        let current = self
+            .heartbeats
+            .get(&record.worker)
+            .is_some_and(|heartbeat| heartbeat.record == record && now < heartbeat.written + HEARTBEAT_MS);
         if !current {
             self.heartbeats.insert(record.worker.clone(), Heartbeat { record, written: now });
         }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -353,7 +353,6 @@
             capacity: Resources { cpu: 16_000, memory: 64_000, accelerators: 0 },
             draining: false,
             started_ms: 0,
-            clock_ms: 0,
         };
         self.start_worker(name, record);
     }
@@ -408,8 +407,7 @@
     /// Writes the records of the workers to the directory.
     fn write_records(&mut self) {
         for worker in self.workers.values() {
-            let clock_ms = worker.clock(self.now);
-            self.directory.write(self.now, WorkerRecord { clock_ms, ..worker.record.clone() });
+            self.directory.write(self.now, worker.record.clone());
         }
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -309,7 +309,7 @@
     let first = d.take_write(now + 5).expect("the placement");
     // The worker restarts while the write is under way, answers, and the task is placed on it again.
     let started_ms = UNIX + 400;
-    let record = WorkerRecord { started_ms, clock_ms: 1_000 + now, ..world.workers[&worker].record.clone() };
+    let record = WorkerRecord { started_ms, ..world.workers[&worker].record.clone() };
     d.update_worker(now + 6, record);
     d.tick(now + 7);
     drop(d.take_commands());
