Refuse jobs with immense amounts, and let sums of amounts saturate

Callers would see tasks started on a worker that can't hold them (release build), or that no job starts any more (build with overflow checks), after one job with a number near 2^64 was accepted.

Cause: amounts and times of a job had no bound; the use of a worker plus 2^64 - 1 wraps around to less than the use.

Change: an amount or a time above 2^40 is malformed. Sums and products saturate, since an older release may have stored such a job.

--- a/crates/jobs/src/dispatch/systems/backlog.rs
+++ b/crates/jobs/src/dispatch/systems/backlog.rs
@@ -131,13 +131,14 @@
             let before = step.after.iter().filter_map(|&s| ends.get(usize::from(s)));
             let mut chain = before.max_by_key(|chain| chain.length).copied().unwrap_or_default();
             if waiting > 0 {
-                chain.length += step.estimate_ms;
+                chain.length = chain.length.saturating_add(step.estimate_ms);
                 chain.steps += 1;
             }
             ends.push(chain);
             self.waiting += waiting;
             if step.long_running {
-                self.long_running_cpu += u64::from(step.count) * step.reserved().cpu;
+                let cpu = u64::from(step.count).saturating_mul(step.reserved().cpu);
+                self.long_running_cpu = self.long_running_cpu.saturating_add(cpu);
                 let spread = step.spread.map_or(1, |most| u64::from(step.count.div_ceil(most.max(1))));
                 self.min_workers = self.min_workers.max(spread);
             }
@@ -145,9 +146,11 @@
                 continue;
             }
             self.ready += waiting;
-            self.ready_cpu += waiting * step.reserved().cpu;
+            let cpu = waiting.saturating_mul(step.reserved().cpu);
+            self.ready_cpu = self.ready_cpu.saturating_add(cpu);
             if !step.long_running {
-                self.ready_work += waiting * step.need.cpu * step.estimate_ms;
+                let work = waiting.saturating_mul(step.need.cpu).saturating_mul(step.estimate_ms);
+                self.ready_work = self.ready_work.saturating_add(work);
             }
         }
         ends.into_iter().max_by_key(|chain| chain.length).unwrap_or_default()
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -39,7 +39,8 @@
 impl Rate {
     fn decay(&mut self, now: u64, constant: u64) {
         let elapsed = now.saturating_sub(self.updated).min(constant);
-        self.work = self.work * (constant - elapsed) / constant;
+        let rest = u128::from(self.work) * u128::from(constant - elapsed) / u128::from(constant);
+        self.work = u64::try_from(rest).unwrap_or(u64::MAX);
         self.updated = now;
     }
 
@@ -69,16 +70,16 @@
     }
 
     fn add(&mut self, work: u64) {
-        self.fast.work += work;
-        self.slow.work += work;
+        self.fast.work = self.fast.work.saturating_add(work);
+        self.slow.work = self.slow.work.saturating_add(work);
     }
 
     /// Expected rate of arriving work when a machine that is ordered now is in service, in thousandths of a
     /// core.
     fn forecast(&self) -> u64 {
         let (fast, slow) = (self.fast.average(FAST_WINDOW_MS), self.slow.average(SLOW_WINDOW_MS));
-        let rise = fast.saturating_sub(slow) * FORECAST_MS / (SLOW_WINDOW_MS - FAST_WINDOW_MS);
-        fast.max(slow) + rise
+        let rise = fast.saturating_sub(slow).saturating_mul(FORECAST_MS) / (SLOW_WINDOW_MS - FAST_WINDOW_MS);
+        fast.max(slow).saturating_add(rise)
     }
 }
 
@@ -96,7 +97,9 @@
 /// Work of a job without its long-running tasks, in thousandths of a core times milliseconds.
 fn work(submission: &Submission) -> u64 {
     let steps = submission.steps.iter().filter(|step| !step.long_running);
-    steps.map(|step| u64::from(step.count) * step.need.cpu * step.estimate_ms).sum()
+    let work = steps
+        .map(|step| u64::from(step.count).saturating_mul(step.need.cpu).saturating_mul(step.estimate_ms));
+    work.fold(0, u64::saturating_add)
 }
 
 impl Dispatcher {
@@ -123,8 +126,9 @@
             let key = self.pools.key(&name);
             let waiting = key.and_then(|key| all.get(key)).copied().unwrap_or_default();
             let Some(demand) = self.fleet.demand.get_mut(&name) else { continue };
-            let rate = demand.forecast() * (100 + HEADROOM_PERCENT) / 100;
-            let needed = (rate + waiting.backlog + waiting.long_running).div_ceil(size.max(1));
+            let rate = demand.forecast().saturating_mul(100 + HEADROOM_PERCENT) / 100;
+            let needed = rate.saturating_add(waiting.backlog).saturating_add(waiting.long_running);
+            let needed = needed.div_ceil(size.max(1));
             demand.machines = needed.max(waiting.min_workers + SPARE_MACHINES);
             demand.kept = needed.max(waiting.min_workers + KEPT_MACHINES);
         }
@@ -142,8 +146,8 @@
         for track in self.tracks.values() {
             let Some(waiting) = all.entry(track.pool).map(|entry| entry.or_default()) else { continue };
             let within = if now > track.objective { LATE_BACKLOG_MS } else { BACKLOG_MS };
-            waiting.backlog += track.backlog.ready_work / within;
-            waiting.long_running += track.backlog.long_running_cpu;
+            waiting.backlog = waiting.backlog.saturating_add(track.backlog.ready_work / within);
+            waiting.long_running = waiting.long_running.saturating_add(track.backlog.long_running_cpu);
             waiting.min_workers = waiting.min_workers.max(track.backlog.min_workers);
         }
         all
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -61,7 +61,7 @@
         }
         let age = unix.saturating_sub(stored.seen_ms).min(plan.within_ms);
         log::info!(wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age; "a wave of upkeep is planned");
-        let deadline = now + plan.within_ms - age;
+        let deadline = now.saturating_add(plan.within_ms) - age;
         self.fleet.waves.insert(number, WaveState { plan, deadline, reported: None, last_report: 0 });
     }
 
--- a/crates/jobs/src/dispatch/systems/load.rs
+++ b/crates/jobs/src/dispatch/systems/load.rs
@@ -66,7 +66,7 @@
         for track in self.tracks.values().filter(|track| track.backlog.ready > 0) {
             let Some(load) = loads.get_mut(self.pools.name(track.pool)) else { continue };
             load.ready += track.backlog.ready;
-            load.ready_cpu += track.backlog.ready_cpu;
+            load.ready_cpu = load.ready_cpu.saturating_add(track.backlog.ready_cpu);
             load.jobs += 1;
             load.late += u64::from(now > track.objective);
         }
--- a/crates/jobs/src/dispatch/systems/placing/order.rs
+++ b/crates/jobs/src/dispatch/systems/placing/order.rs
@@ -35,7 +35,8 @@
         let over_share = self.teams_over_share();
         let queued = self.tracks.iter().filter(|(_, track)| track.backlog.ready > 0).map(|(&id, track)| {
             let backlog = &track.backlog;
-            let end = now + backlog.chain.length + backlog.chain.steps * STEP_OVERHEAD_MS;
+            let overhead = backlog.chain.steps * STEP_OVERHEAD_MS;
+            let end = now.saturating_add(backlog.chain.length).saturating_add(overhead);
             QueuedJob {
                 priority: track.priority,
                 late: !backlog.long_running && end > track.objective,
--- a/crates/jobs/src/dispatch/systems/placing/room.rs
+++ b/crates/jobs/src/dispatch/systems/placing/room.rs
@@ -83,7 +83,7 @@
         label: Option<&str>,
         cpu: u64,
     ) -> impl Iterator<Item = WorkerKey> {
-        let free = cpu * 1_000 / self.largest.max(1);
+        let free = cpu.saturating_mul(1_000) / self.largest.max(1);
         let ranks = match label {
             None => &self.all,
             Some(label) => {
--- a/crates/jobs/src/dispatch/systems/policy.rs
+++ b/crates/jobs/src/dispatch/systems/policy.rs
@@ -40,7 +40,7 @@
         let Some(entry) = self.policy_tickets.steps.get_mut(step) else { return };
         entry.asked_at = None;
         for (worker, ticket) in permitted {
-            entry.tickets.insert(worker, (ticket, now + valid_ms));
+            entry.tickets.insert(worker, (ticket, now.saturating_add(valid_ms)));
         }
         self.unchanged = false;
     }
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -61,12 +61,12 @@
             return false;
         }
         let (expected, by_siblings) = self.expected_ms(now, task);
-        let restart = expected + RESTART_MS + self.options.stop_ms;
+        let restart = expected.saturating_add(RESTART_MS + self.options.stop_ms);
         if Self::has_stalled(now, run) {
             return true;
         }
         let percent = if by_siblings { SLOW_PERCENT } else { UNUSUAL_PERCENT };
-        let slow = expected * percent / 100;
+        let slow = expected.saturating_mul(percent) / 100;
         match run.projected_ms(now) {
             Some(projected) => projected > slow && projected - elapsed > restart,
             None => elapsed > slow,
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -102,7 +102,8 @@
         let unix = i64::try_from(now).unwrap_or(0) + self.unix_offset;
         let age = unix.saturating_sub(i64::try_from(job.submission.arrived_ms).unwrap_or(0));
         let age = u64::try_from(age).unwrap_or(0).min(super::jobs::MAX_AGE_MS);
-        let length = job.submission.chain_ms() * terms.stretch_percent / 100 + terms.target_ms;
+        let stretched = job.submission.chain_ms().saturating_mul(terms.stretch_percent) / 100;
+        let length = stretched.saturating_add(terms.target_ms);
         if job.progress.phase != Phase::Active {
             self.ended.push_back((now, id));
             return;
@@ -115,7 +116,7 @@
             usage.or_default().jobs += 1;
         }
         let track = Track {
-            objective: (now + length).saturating_sub(age),
+            objective: now.saturating_add(length).saturating_sub(age),
             failure_counted: false,
             pool: self.pools.intern(&terms.pool),
             priority: terms.priority,
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -21,6 +21,8 @@
 /// Time added to a lease before it counts as expired, in milliseconds. Covers the drift of the clock estimate within
 /// [`CONTACT_MS`] and a held poll.
 const LEASE_MARGIN_MS: u64 = 500;
+/// Latest reading of a worker's clock that is believed, in milliseconds, so that the end of a lease doesn't overflow.
+const MAX_CLOCK_MS: u64 = u64::MAX / 2;
 /// Time after a worker's answer in which no restart is expected and its clock has hardly drifted, in milliseconds. Within
 /// it a worker gets starts and leases without another poll.
 const CONTACT_MS: u64 = 700;
@@ -267,7 +269,9 @@
         let contact = self.contact.filter(|_| self.responds() && self.record_is_current())?;
         // A poll that the worker holds fails as soon as its process ends.
         let allowed = if self.poll_held { CONTACT_MS + poll_wait_ms } else { CONTACT_MS };
-        (at.since(contact.at) <= allowed).then(|| contact.clock_ms + at.steady.saturating_sub(contact.read))
+        (at.since(contact.at) <= allowed).then(|| {
+            contact.clock_ms.saturating_add(at.steady.saturating_sub(contact.read)).min(MAX_CLOCK_MS)
+        })
     }
 
     /// Records an answer to a poll that the worker could hold for `wait_ms`. One that took longer may have waited in this
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -14,8 +14,11 @@
 pub const MAX_TASKS: u32 = 1_000;
 /// Maximum payload size in bytes, as given by the callers' interface.
 pub const MAX_PAYLOAD: usize = 4_000;
-/// Largest amount of a resource. No worker has as much, and sums of amounts within it don't overflow.
+/// Largest amount of a resource, and largest time in milliseconds. No worker has as much, and no task takes as long; sums
+/// within it don't overflow.
 pub const MAX_AMOUNT: u64 = 1 << 40;
+/// Latest time of day of a schedule, in milliseconds since 1970: about the year 10,900.
+const MAX_UNIX_MS: u64 = 1 << 48;
 /// Upper bound of a task's size in a progress record, in bytes: its state with a worker id, numbers and a checkpoint.
 const TASK_BYTES: usize = 96;
 
@@ -31,11 +34,11 @@
 }
 
 impl Resources {
-    /// Adds `other` in place.
+    /// Adds `other` in place, saturating: an amount that overflows fits nowhere.
     pub fn add(&mut self, other: Self) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts `other` in place, saturating at 0.
@@ -111,6 +114,12 @@
 }
 
 impl Step {
+    /// True if no amount and no time exceeds [`MAX_AMOUNT`].
+    fn plausible(&self) -> bool {
+        let times = [self.estimate_ms, self.target_ms.unwrap_or(0)];
+        self.need.plausible() && times.into_iter().all(|time| time <= MAX_AMOUNT)
+    }
+
     /// Resources that a task reserves on a worker. Best-effort tasks reserve no CPU.
     #[must_use]
     pub const fn reserved(&self) -> Resources {
@@ -131,10 +140,15 @@
 }
 
 impl Schedule {
+    /// True if the start is a time of day that a clock can show, and the interval is at most [`MAX_AMOUNT`].
+    const fn plausible(self) -> bool {
+        self.interval_ms <= MAX_AMOUNT && self.start_ms <= MAX_UNIX_MS
+    }
+
     /// Time at which an occurrence is due, in milliseconds since 1970.
     #[must_use]
     pub const fn due_ms(&self, occurrence: u32) -> u64 {
-        self.start_ms + self.interval_ms * occurrence as u64
+        self.start_ms.saturating_add(self.interval_ms.saturating_mul(occurrence as u64))
     }
 }
 
@@ -192,6 +206,9 @@
     /// The payload is longer than [`MAX_PAYLOAD`] bytes.
     #[error("the payload is longer than {MAX_PAYLOAD} bytes")]
     Payload,
+    /// An amount or a time exceeds [`MAX_AMOUNT`].
+    #[error("an amount or a time is larger than {MAX_AMOUNT}")]
+    Amount,
     /// The record of the job or of its progress would exceed the maximum record size.
     #[error("the job or its progress would exceed the store's maximum record size")]
     Large,
@@ -220,6 +237,12 @@
             if step.after.iter().any(|&before| usize::from(before) >= number) {
                 return Err(BadJob::Order);
             }
+            if !step.plausible() {
+                return Err(BadJob::Amount);
+            }
+        }
+        if self.schedule.is_some_and(|schedule| !schedule.plausible()) {
+            return Err(BadJob::Amount);
         }
         if self.tasks() * TASK_BYTES > record_bytes {
             return Err(BadJob::Large);
@@ -239,7 +262,7 @@
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let start = step.after.iter().filter_map(|&s| ends.get(usize::from(s))).max().copied();
-            ends.push(start.unwrap_or(0) + step.estimate_ms);
+            ends.push(start.unwrap_or(0).saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -612,7 +612,7 @@
             let lost = if worker.stuck { ROUND_MS } else { ROUND_MS - ROUND_MS / worker.slowness };
             for run in worker.runs.values_mut() {
                 run.start += lost;
-                run.ends += lost;
+                run.ends = run.ends.saturating_add(lost);
             }
             let lapsed = worker.deadline <= clock;
             if lapsed {
@@ -645,6 +645,10 @@
             }
             let used: u64 = worker.runs.values().map(|run| run.need.cpu).sum();
             self.peak_cpu = self.peak_cpu.max(used);
+            let memory: u128 = worker.runs.values().map(|run| u128::from(run.need.memory)).sum();
+            if memory > u128::from(worker.record.capacity.memory) {
+                self.violations.push(format!("{} uses {memory} MB at {now}", worker.record.worker));
+            }
         }
     }
 
@@ -827,7 +831,8 @@
             }
             let (length, reason) =
                 if worker.failing { (FAILED_RUN_MS, EndReason::Failed) } else { (length, reason) };
-            let run = Run { number: start.run, start: now, ends: now + length, reason, speed: 100, need };
+            let ends = now.saturating_add(length);
+            let run = Run { number: start.run, start: now, ends, reason, speed: 100, need };
             worker.runs.insert(start.task, run);
         }
         if worker.drops_answers { Outcome::Unknown } else { Outcome::Taken }
