Give the work up when a task of the owner fails, and start the task again

Callers would see that accepted jobs never start while the owner's process lives, is in the rotation and renews its membership; that workers which come are never used; or, after four failures, that no submission is stored.

Cause: each task of a node runs on its own and nothing watched them. Evidence: with overflow checks, an odd entry of a worker made the owner's task panic; no job started any more, and no other instance took over.

Change: a failed task is logged, counted and started again; where decisions may be incomplete, the instance gives the work up and loads it anew, so that another one can take it. A failed append no longer counts as under way.

--- a/crates/jobs/src/metrics/mod.rs
+++ b/crates/jobs/src/metrics/mod.rs
@@ -37,6 +37,7 @@
     ownership: Counter<u64>,
     failures: Counter<u64>,
     bytes: Counter<u64>,
+    panics: Counter<u64>,
     answered: Histogram<f64>,
     stored: Histogram<f64>,
     late: Histogram<f64>,
@@ -63,6 +64,7 @@
             decisions: counter(&meter, "decisions", "Decisions of the owner, by kind"),
             ownership: counter(&meter, "ownership", "Claims and losses of ownership, by reason"),
             failures: counter(&meter, "store_failures", "Failed calls to the store, by topic and cause"),
+            panics: counter(&meter, "task_failures", "Tasks of the instance that failed, by task"),
             bytes: counter(&meter, "store_bytes", "Bytes read from the store, by topic"),
             answered: histogram(&meter, "answer_milliseconds", "Time from a call to its answer"),
             stored: histogram(&meter, "store_milliseconds", "Time of an append that was answered"),
@@ -97,6 +99,11 @@
         self.failures.add(1, &[KeyValue::new("topic", topic), KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a task of the instance that failed.
+    pub fn task_failed(&self, task: &'static str) {
+        self.panics.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Counts bytes read from the store, including those of incomplete answers.
     pub fn store_read(&self, topic: &'static str, bytes: u64) {
         self.bytes.add(bytes, &[KeyValue::new("topic", topic)]);
--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout_at};
 
@@ -31,7 +31,8 @@
 
 impl<P: Platform> Node<P> {
     /// Answers calls until all senders are dropped.
-    pub(super) async fn answer_calls(self: Rc<Self>, mut calls: mpsc::Receiver<Message>) {
+    pub(super) async fn answer_calls(self: Rc<Self>, calls: Rc<Mutex<mpsc::Receiver<Message>>>) {
+        let mut calls = calls.lock().await;
         while let Some(message) = calls.recv().await {
             let (call, sender) = match message {
                 Message::Call(call, sender) => (call, sender),
@@ -41,24 +42,28 @@
                     continue;
                 }
             };
-            self.state.borrow_mut().open_calls += 1;
             let node = Rc::clone(&self);
             spawn_local(async move {
-                let begun = Instant::now();
-                let path = call.path.clone();
-                let answer = node.answer(call).await;
-                node.log_refusal(&path, answer);
-                node.handle.meters.answered(answer.kind(), begun.elapsed());
-                if let Answer::Refused(refusal, _) = answer {
-                    node.handle.meters.refused(refusal.name());
-                }
-                node.state.borrow_mut().open_calls -= 1;
-                // The caller may have disconnected.
-                let _ = sender.send(answer);
+                // If this fails, the caller is told that the outcome is unknown.
+                node.contain("answer", node.answer_to(call, sender)).await
             });
         }
     }
 
+    /// Answers a call and counts the answer.
+    async fn answer_to(&self, call: Call, sender: oneshot::Sender<Answer>) {
+        let begun = Instant::now();
+        let path = call.path.clone();
+        let answer = self.answer(call).await;
+        self.log_refusal(&path, answer);
+        self.handle.meters.answered(answer.kind(), begun.elapsed());
+        if let Answer::Refused(refusal, _) = answer {
+            self.handle.meters.refused(refusal.name());
+        }
+        // The caller may have disconnected.
+        let _ = sender.send(answer);
+    }
+
     async fn answer(&self, call: Call) -> Answer {
         let (queue, rest, team) = match self.admit(&call) {
             Ok(admitted) => admitted,
--- a/crates/jobs/src/node/intake.rs
+++ b/crates/jobs/src/node/intake.rs
@@ -46,15 +46,20 @@
                     let count = count_fitting(waiting, self.options.append_bytes);
                     state.queue.drain(..count).collect()
                 };
-                spawn_local(Rc::clone(&self).append_intake(batch));
+                let node = Rc::clone(&self);
+                spawn_local(async move {
+                    // If this fails, the callers are told that the outcome is unknown.
+                    node.run_or_step_down("append_intake", node.append_intake(batch)).await;
+                    node.state.borrow_mut().open_appends -= 1;
+                    node.intake_wakeup.notify_one();
+                });
             }
         }
     }
 
-    async fn append_intake(self: Rc<Self>, batch: Vec<PendingRecord>) {
+    async fn append_intake(&self, batch: Vec<PendingRecord>) {
         let (stored, end) = self.try_append(&batch).await;
         let mut state = self.state.borrow_mut();
-        state.open_appends -= 1;
         let first = end.saturating_sub(batch.len() as u64);
         for (offset, pending) in (first..).zip(batch) {
             if stored == Stored::Yes
@@ -66,7 +71,6 @@
             // The caller may have disconnected.
             let _ = pending.answer.send(stored);
         }
-        self.intake_wakeup.notify_one();
     }
 
     /// Retries an append until the store accepts it, has refused it repeatedly, or the first deadline is near. Returns the
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod state;
 mod summaries;
+mod supervision;
 pub mod view;
 mod work;
 
@@ -22,7 +23,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{Mutex, Notify, mpsc};
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::dispatch::options::Options as DispatchOptions;
@@ -82,20 +82,21 @@
         stop: impl Future<Output = ()>,
         close: impl Future<Output = ()>,
     ) {
+        let calls = Rc::new(Mutex::new(calls));
         let tasks = [
-            spawn_local(Rc::clone(&self).follow_operator()),
-            spawn_local(Rc::clone(&self).follow_summaries()),
-            spawn_local(Rc::clone(&self).follow_intake()),
-            spawn_local(Rc::clone(&self).follow_progress()),
-            spawn_local(Rc::clone(&self).follow_directory()),
-            spawn_local(Rc::clone(&self).follow_machines()),
-            spawn_local(Rc::clone(&self).join_entries()),
-            spawn_local(Rc::clone(&self).join_holders()),
-            spawn_local(Rc::clone(&self).run_owner()),
-            spawn_local(Rc::clone(&self).publish_summaries()),
-            spawn_local(Rc::clone(&self).write_intake()),
-            spawn_local(Rc::clone(&self).answer_calls(calls)),
-            spawn_local(Rc::clone(&self).watch_ready()),
+            self.keep_running("follow_operator", Self::follow_operator),
+            self.keep_running("follow_summaries", Self::follow_summaries),
+            self.keep_running("follow_intake", Self::follow_intake),
+            self.keep_running("follow_progress", Self::follow_progress),
+            self.keep_running("follow_directory", Self::follow_directory),
+            self.keep_running("follow_machines", Self::follow_machines),
+            self.keep_running("join_entries", Self::join_entries),
+            self.keep_running("join_holders", Self::join_holders),
+            self.keep_running("run_owner", Self::run_owner),
+            self.keep_running("publish_summaries", Self::publish_summaries),
+            self.keep_running("write_intake", Self::write_intake),
+            self.keep_running("answer_calls", move |node| node.answer_calls(Rc::clone(&calls))),
+            self.keep_running("watch_ready", Self::watch_ready),
         ];
         stop.await;
         self.shut_down().await;
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::load::OwnerLoad;
@@ -70,13 +69,13 @@
                 continue;
             }
             if let Some(write) = write {
-                writing = Some(spawn_local(Rc::clone(&self).store_write(write)));
+                writing = Some(self.run_once("store_write", Rc::clone(&self).store_write(write)));
             }
             if !dropped.is_empty() {
-                spawn_local(Rc::clone(&self).delete_intake(dropped));
+                self.run_once("delete_intake", Rc::clone(&self).delete_intake(dropped));
             }
             for command in commands {
-                spawn_local(Rc::clone(&self).execute(command));
+                self.run_once("execute", Rc::clone(&self).execute(command));
             }
             sleep(MIN_TICK_INTERVAL).await;
         }
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -117,8 +117,6 @@
     pub(super) queue: Vec<PendingRecord>,
     /// Number of appends to the intake without an answer.
     pub(super) open_appends: usize,
-    /// Number of calls without an answer.
-    pub(super) open_calls: usize,
     /// Time at which this process read the current owner's claim, or of a load of the table other than the first. None
     /// if the claim was in the first load, since it is then old.
     pub(super) claim_seen: Option<Instant>,
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
-use platform::{Cluster, Fault, call, read, submit};
+use platform::{Cluster, Defect, Fault, call, read, submit};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Answer, Verb};
 use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
+use tokio::time::timeout;
 
 #[tokio::test(start_paused = true)]
 async fn an_accepted_job_completes_and_every_node_shows_it() {
@@ -318,3 +319,66 @@
     })
     .await;
 }
+
+/// Guards against an owner of which a task has failed: it kept the work, did nothing, and no other instance went on.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn work_goes_on_after_a_task_of_the_owner_has_failed(
+    #[values(Defect::WorkerRecord, Defect::Append, Defect::Submission, Defect::Poll)] defect: Defect,
+    #[values(1, 3)] nodes: usize,
+) {
+    Cluster::run(nodes, move |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 2)).await, Answer::Accepted(_)));
+        cluster.run_for(200).await;
+        cluster.fail_at(defect);
+        if defect == Defect::WorkerRecord {
+            cluster.write_worker_records();
+        }
+        // The caller asks again if the outcome of the first call is unknown.
+        let first = cluster.call(0, submit(2, 2)).await;
+        assert!(matches!(first, Answer::Accepted(_) | Answer::Unknown), "{first:?}");
+        cluster.run_for(1_000).await;
+        assert!(matches!(cluster.call(0, submit(2, 2)).await, Answer::Accepted(_)));
+        cluster.run_for(25_000).await;
+        assert!(cluster.has_failed(), "nothing has failed");
+        for job in [1, 2] {
+            assert_eq!(cluster.call(0, read(job)).await, Answer::State(JobState::Completed), "job {job}");
+        }
+        assert!(matches!(cluster.call(0, submit(3, 2)).await, Answer::Accepted(_)));
+        cluster.run_for(3_000).await;
+        assert_eq!(cluster.call(0, read(3)).await, Answer::State(JobState::Completed));
+        assert_eq!(cluster.duplicate_starts(), 0);
+    })
+    .await;
+}
+
+/// Guards against a directory that is no longer followed.
+#[tokio::test(start_paused = true)]
+async fn the_directory_is_followed_after_its_reader_has_failed() {
+    Cluster::run(1, |cluster| async move {
+        cluster.fail_at(Defect::WorkerRecord);
+        cluster.write_worker_records();
+        cluster.run_for(10_000).await;
+        assert!(cluster.has_failed(), "nothing has failed");
+        cluster.delete_worker_record(0);
+        cluster.run_for(2_000).await;
+        let Some(View::Work(work)) = cluster.view(0, Query::Work).await else { panic!("no view") };
+        assert_eq!(work.pools[0].workers, 2);
+    })
+    .await;
+}
+
+/// Guards against submissions that are no longer stored, because each failed append counts as one under way.
+#[tokio::test(start_paused = true)]
+async fn submissions_are_stored_after_appends_have_failed() {
+    Cluster::run(1, |cluster| async move {
+        for id in 1..8 {
+            cluster.fail_at(Defect::Submission);
+            let answer = timeout(Duration::from_secs(5), cluster.call(0, submit(id, 1))).await;
+            assert_eq!(answer, Ok(Answer::Unknown), "job {id}");
+            cluster.run_for(2_000).await;
+        }
+        assert!(matches!(cluster.call(0, submit(9, 1)).await, Answer::Accepted(_)));
+    })
+    .await;
+}
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::link::Link;
-use super::store::{Fault, MAX_APPEND_BYTES, MAX_PAGE_BYTES, MemoryPlatform, SharedState};
+use super::store::{Defect, Fault, MAX_APPEND_BYTES, MAX_PAGE_BYTES, MemoryPlatform, SharedState};
 use super::workers::Worker;
 
 /// Maximum size of a record in bytes. Tasks take less than half of the size that the admission check assumes, so a record
@@ -215,6 +215,33 @@
         self.members.borrow()[node].handle.ready()
     }
 
+    /// Has the next call of a kind fail, with the task that makes it.
+    pub(crate) fn fail_at(&self, defect: Defect) {
+        self.shared.borrow_mut().defect = Some(defect);
+    }
+
+    /// Has the workers write their records again.
+    pub(crate) fn write_worker_records(&self) {
+        (0..WORKERS).for_each(|index| self.write_worker_record(index, vec![1]));
+    }
+
+    /// Deletes the record of a worker.
+    pub(crate) fn delete_worker_record(&self, index: usize) {
+        self.write_worker_record(index, Vec::new());
+    }
+
+    fn write_worker_record(&self, index: usize, value: Vec<u8>) {
+        let mut shared = self.shared.borrow_mut();
+        let log = shared.logs.entry(Topic::Directory).or_default();
+        log.entries.push(Entry { key: format!("worker-{index}"), value });
+        self.appended.notify_waiters();
+    }
+
+    /// True if that call has been made.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.shared.borrow().defect.is_none()
+    }
+
     pub(crate) fn set_fault(&self, fault: Fault) {
         self.shared.borrow_mut().fault = fault;
     }
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -19,8 +19,8 @@
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 
 pub(crate) use cluster::Cluster;
-pub(crate) use store::Fault;
 use store::MemoryPlatform;
+pub(crate) use store::{Defect, Fault};
 use workers::STARTED_MS;
 
 /// Duration of tasks in milliseconds.
@@ -57,6 +57,7 @@
     }
 
     fn worker_record(&self, entry: &Entry) -> Result<WorkerRecord, InvalidRecord> {
+        self.shared.borrow_mut().fail_at(Defect::WorkerRecord);
         Ok(WorkerRecord {
             worker: entry.key.clone(),
             address: entry.key.clone(),
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -46,6 +46,19 @@
     Unavailable,
 }
 
+/// Call to the platform in which the calling task fails, once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Defect {
+    /// Decoding of a worker's record.
+    WorkerRecord,
+    /// Append by the owner.
+    Append,
+    /// Append of a submission.
+    Submission,
+    /// Poll of a worker.
+    Poll,
+}
+
 /// Records of a topic.
 #[derive(Default)]
 pub(super) struct Log {
@@ -64,6 +77,8 @@
     /// Topics whose reads are blocked, by the name of the process.
     pub(super) block_reads: BTreeMap<String, BTreeSet<Topic>>,
     pub(super) fault: Fault,
+    /// Next call that fails.
+    pub(super) defect: Option<Defect>,
     pub(super) logs: BTreeMap<Topic, Log>,
     /// Maximum size of the records in a page, in bytes.
     pub(super) page_bytes: usize,
@@ -78,6 +93,13 @@
 }
 
 impl SharedState {
+    /// Fails in a call that is to fail.
+    pub(super) fn fail_at(&mut self, call: Defect) {
+        if self.defect.take_if(|defect| *defect == call).is_some() {
+            panic!("{call:?} fails as the test demands");
+        }
+    }
+
     /// Members of a group after removing those whose time to live is over.
     fn live_members(&mut self, group: Group) -> &mut Members {
         let now = Instant::now();
@@ -270,6 +292,11 @@
             if entries.iter().map(Entry::size).sum::<usize>() > MAX_APPEND_BYTES {
                 return Err(StoreError::Refused);
             }
+            match topic {
+                Topic::Progress => self.shared.borrow_mut().fail_at(Defect::Append),
+                Topic::Intake => self.shared.borrow_mut().fail_at(Defect::Submission),
+                _ => {}
+            }
             let result = self.shared.borrow_mut().logs.entry(topic).or_default().append(entries, fence, at);
             if result.is_ok() {
                 self.appended.notify_waiters();
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::TASK_MS;
-use super::store::MemoryPlatform;
+use super::store::{Defect, MemoryPlatform};
 
 /// Start time of all workers.
 pub(super) const STARTED_MS: u64 = 7;
@@ -32,6 +32,7 @@
             sleep(Duration::from_millis(2)).await;
             let clock = self.clock();
             let mut shared = self.shared.borrow_mut();
+            shared.fail_at(Defect::Poll);
             let worker = shared.workers.get_mut(&poll.target.worker).ok_or(Outcome::Unsent)?;
             if poll.token < worker.token {
                 return Err(Outcome::Fenced);
