--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -77,6 +77,10 @@
     pub polls: u64,
     /// Workers examined while placing tasks.
     pub examined: u64,
+    /// Requests to the queues' policy.
+    pub policy_requests: u64,
+    /// Requests to the queues' policy without a usable answer.
+    pub policy_failures: u64,
     /// Jobs that completed.
     pub completed: u64,
     /// Jobs that failed.
--- a/crates/jobs/src/dispatch/systems/policy.rs
+++ b/crates/jobs/src/dispatch/systems/policy.rs
@@ -47,6 +47,7 @@
 
     /// Handles a request to the policy that got no answer; all workers may be asked about again.
     pub fn policy_unanswered(&mut self, step: &str) {
+        self.counters.policy_failures += 1;
         if let Some(entry) = self.policy_tickets.steps.get_mut(step) {
             entry.asked_at = None;
             entry.asked.clear();
@@ -102,6 +103,7 @@
         if workers.is_empty() {
             return;
         }
+        self.counters.policy_requests += 1;
         entry.asked_at = Some(now);
         entry.asked.extend(workers.iter().cloned());
         self.commands.push(Command::AskPolicy(name, workers));
--- a/crates/jobs/src/metrics/mod.rs
+++ b/crates/jobs/src/metrics/mod.rs
@@ -131,6 +131,8 @@
             ("stop", before.stops, now.stops),
             ("look", before.polls, now.polls),
             ("worker_examined", before.examined, now.examined),
+            ("policy_request", before.policy_requests, now.policy_requests),
+            ("policy_failure", before.policy_failures, now.policy_failures),
             ("job_completed", before.completed, now.completed),
             ("job_failed", before.failed, now.failed),
         ];
--- a/crates/jobs/src/node/load.rs
+++ b/crates/jobs/src/node/load.rs
@@ -62,7 +62,9 @@
             elapsed_ms = millis(elapsed), ticks = self.ticks, busy_ms = millis(self.busy),
             longest_ms = millis(self.longest), writes = self.writes, records = self.records, commands = self.commands,
             starts = counters.starts - logged.starts, ends = counters.ends - logged.ends,
-            polls = counters.polls - logged.polls, examined = counters.examined - logged.examined;
+            polls = counters.polls - logged.polls, examined = counters.examined - logged.examined,
+            policy_requests = counters.policy_requests - logged.policy_requests,
+            policy_failures = counters.policy_failures - logged.policy_failures;
             "load of the owner"
         );
         *self = Self::new(counters);
