Bound the requests to the queues' policy

Cause: each waiting step had a request of its own. The service takes 32 waiting requests, which need longer than the 3 s after which each was given up; requests that are given up keep their turn, so every answer came too late, and a step whose request failed asked again at once.

Change: at most two requests are outstanding; the next ones are chosen by each placement pass in its order, those that let a task start at once first. Their time limit is what the policy declares, and 3 s; failures have all requests pause.

Related paths: policies that declare more than 3 s, tickets valid for less than 1.25 s, steps that can run on no worker and ask without end, one team's surge before the requests of others. Decisions of past occurrences are removed.

--- a/crates/jobs/src/dispatch/command/mod.rs
+++ b/crates/jobs/src/dispatch/command/mod.rs
@@ -1,6 +1,6 @@
 //! Commands of the dispatcher to the process that runs it.
 
-use crate::ids::TaskId;
+use crate::ids::{StepId, TaskId};
 
 /// Destination of a request to a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,6 +78,17 @@
     pub percent: u8,
 }
 
+/// Request to the queues' policy about a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PolicyRequest {
+    /// Step.
+    pub step: StepId,
+    /// Ids of the workers that could run it.
+    pub workers: Vec<String>,
+    /// Time limit of the answer in milliseconds.
+    pub timeout_ms: u64,
+}
+
 /// Request of the dispatcher; its outcome is reported back as an event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
@@ -89,8 +100,8 @@
     Stop(Stop),
     /// Limit the processor share of a run.
     Throttle(Throttle),
-    /// Ask the queue's policy which workers may run a step: step name and worker ids.
-    AskPolicy(String, Vec<String>),
+    /// Ask the queues' policy which workers may run a step.
+    AskPolicy(PolicyRequest),
     /// Move a machine to a pool: machine and pool.
     Move(String, String),
     /// Maintain a machine as part of a wave: machine and number of the wave.
--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -92,6 +92,6 @@
         let terms = self.terms(&job.submission);
         let step = job.submission.steps[usize::from(task.step)].clone();
         let mut rooms = self.open_rooms(now, &terms.pool);
-        matches!(self.choose(now, &mut rooms, false, &step, task), Choice::Worker(_))
+        matches!(self.choose(now, &mut rooms, None, &step, task), Choice::Worker(_))
     }
 }
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -98,6 +98,7 @@
                 if run.next_order.is_none() {
                     self.unsettled.remove(&(key, task));
                 }
+                self.ticket_used(task);
             }
             Outcome::Outdated => {
                 run.confirmed.get_or_insert(now);
--- a/crates/jobs/src/dispatch/systems/placing/choose.rs
+++ b/crates/jobs/src/dispatch/systems/placing/choose.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 
 use super::room::Rooms;
+use crate::catalog::Policy;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::worker::{Worker, WorkerKey};
 use crate::ids::TaskId;
@@ -37,7 +38,7 @@
         &mut self,
         now: u64,
         rooms: &mut Rooms,
-        has_policy: bool,
+        policy: Option<Policy>,
         step: &Step,
         task: TaskId,
     ) -> Choice {
@@ -46,8 +47,12 @@
         }
         let sibling = if step.compact { self.sibling_rack(task) } else { None };
         let racks = [step.data_rack.as_deref(), sibling.as_deref()];
-        if has_policy {
-            return self.choose_permitted(now, rooms, racks, step, task);
+        if let Some(policy) = policy {
+            let choice = self.choose_permitted(now, rooms, racks, step, task);
+            if choice == Choice::Blocked {
+                self.request_tickets(now, rooms, policy, step, task);
+            }
+            return choice;
         }
         if step.long_running {
             return self.choose_packed(rooms, racks, step, task);
@@ -128,7 +133,7 @@
         }
     }
 
-    /// Best worker that the queue's policy permits. If there is none, the policy is asked about more workers.
+    /// Best worker for which the queue's policy has granted a ticket.
     fn choose_permitted(
         &mut self,
         now: u64,
@@ -150,15 +155,31 @@
                 best = Some((score, key));
             }
         }
-        if best.is_none() {
-            let label = step.label.as_deref();
-            let labelled = |key: &WorkerKey| self.workers.get(*key).is_some_and(|w| w.has_label(label));
-            let candidates: Vec<WorkerKey> = rooms.keys().filter(labelled).collect();
-            self.ask_policy(now, task, &candidates);
-        }
         best.map_or(Choice::Blocked, |(_, key)| Choice::Worker(key))
     }
 
+    /// Proposes to ask the queue's policy about workers on which the task could start. If there are none, it is asked ahead
+    /// about those that could run the task when they are idle.
+    fn request_tickets(&mut self, now: u64, rooms: &mut Rooms, policy: Policy, step: &Step, task: TaskId) {
+        if let Some(urgency) = self.request_urgency(now, task, true) {
+            let candidates = rooms.candidates(&self.workers, step.label.as_deref(), step.reserved().cpu);
+            let fits =
+                |key: &WorkerKey| self.workers.get(*key).is_some_and(|w| fit(step, w, task) == Fit::Fits);
+            let fitting: Vec<WorkerKey> = candidates.filter(fits).collect();
+            self.counters.examined += fitting.len() as u64;
+            if self.propose_request(now, policy, task, urgency, fitting) {
+                return;
+            }
+        }
+        if let Some(urgency) = self.request_urgency(now, task, false) {
+            let suits =
+                |key: &WorkerKey| self.workers.get(*key).is_some_and(|worker| could_run(step, worker));
+            let suitable: Vec<WorkerKey> = rooms.keys().filter(suits).collect();
+            self.counters.examined += suitable.len() as u64;
+            self.propose_request(now, policy, task, urgency, suitable);
+        }
+    }
+
     /// True if the team of a task may use as many more resources.
     pub(in super::super) fn within_limit(&self, task: TaskId, need: Resources) -> bool {
         let Some(team) = self.table.get(task.job).and_then(|job| job.submission.team.as_deref()) else {
@@ -196,6 +217,11 @@
     }
 }
 
+/// True if a worker is of the kind and size for a task of a step.
+fn could_run(step: &Step, worker: &Worker) -> bool {
+    worker.has_label(step.label.as_deref()) && step.reserved().fits(worker.record.capacity)
+}
+
 /// True if a worker is in a rack, or if none is preferred.
 fn is_near(worker: &Worker, rack: Option<&str>) -> bool {
     rack.is_none_or(|rack| worker.rack() == Some(rack))
--- a/crates/jobs/src/dispatch/systems/placing/mod.rs
+++ b/crates/jobs/src/dispatch/systems/placing/mod.rs
@@ -14,6 +14,7 @@
 use super::super::Dispatcher;
 use super::super::names::PoolKey;
 use super::super::worker::WorkerKey;
+use crate::catalog::Policy;
 use crate::ids::{JobId, TaskId};
 use crate::spec::{Resources, Step};
 use crate::table::TaskState;
@@ -133,6 +134,7 @@
             }
             self.place_job(now, &mut pass, queued.id, false);
         }
+        self.send_requests();
         // Answers to starts allow more placements.
         if pass.start_budget == 0 {
             self.unchanged = false;
@@ -181,13 +183,13 @@
             return;
         };
         let submission = Arc::clone(&job.submission);
-        let has_policy = self.queue(&submission.queue).is_some_and(|queue| queue.policy.is_some());
+        let policy = self.queue(&submission.queue).and_then(|queue| queue.policy);
         let mut groups = Vec::new();
         for occurrence in &job.progress.occurrences {
             for (number, step) in (0_u16..).zip(&submission.steps) {
                 // With a policy the search is made even in a full pool, because it sends the request to the
                 // policy.
-                if !has_policy && pool.unmet.iter().any(|unmet| unmet.implies(step)) {
+                if policy.is_none() && pool.unmet.iter().any(|unmet| unmet.implies(step)) {
                     continue;
                 }
                 let rows = occurrence.step(&submission, usize::from(number));
@@ -211,9 +213,9 @@
             }
             let placed = self.new_placements.len();
             let met = if step.gang {
-                self.place_gang(now, rooms, has_policy, step, &tasks)
+                self.place_gang(now, rooms, policy, step, &tasks)
             } else {
-                self.place_group(now, rooms, has_policy, step, &tasks[..tasks.len().min(pass.start_budget)])
+                self.place_group(now, rooms, policy, step, &tasks[..tasks.len().min(pass.start_budget)])
             };
             if !met {
                 pool.unmet.push(UnmetDemand::of(step));
@@ -234,15 +236,15 @@
         &mut self,
         now: u64,
         rooms: &mut Rooms,
-        has_policy: bool,
+        policy: Option<Policy>,
         step: &Step,
         tasks: &[TaskId],
     ) -> bool {
         for &task in tasks {
-            match self.choose(now, rooms, has_policy, step, task) {
+            match self.choose(now, rooms, policy, step, task) {
                 Choice::Worker(key) => {
                     let run = self.last_run(task) + 1;
-                    self.place_task(now, rooms, key, task, run, has_policy);
+                    self.place_task(now, rooms, key, task, run, policy.is_some());
                 }
                 Choice::NoRoom => return false,
                 Choice::Blocked => return true,
@@ -256,7 +258,7 @@
         &mut self,
         now: u64,
         rooms: &mut Rooms,
-        has_policy: bool,
+        policy: Option<Policy>,
         step: &Step,
         tasks: &[TaskId],
     ) -> bool {
@@ -266,7 +268,7 @@
         let run = tasks.iter().map(|task| self.last_run(*task)).max().unwrap_or(0) + 1;
         let mut placed = Vec::new();
         for &task in tasks {
-            let choice = self.choose(now, rooms, has_policy, step, task);
+            let choice = self.choose(now, rooms, policy, step, task);
             let Choice::Worker(key) = choice else {
                 for (key, task, previous_run) in placed {
                     self.undo_placement(rooms, key, task, previous_run);
@@ -276,7 +278,7 @@
                 return choice != Choice::NoRoom;
             };
             let previous_run = self.last_run(task);
-            self.place_task(now, rooms, key, task, run, has_policy);
+            self.place_task(now, rooms, key, task, run, policy.is_some());
             placed.push((key, task, previous_run));
         }
         true
--- a/crates/jobs/src/ids/mod.rs
+++ b/crates/jobs/src/ids/mod.rs
@@ -1,6 +1,6 @@
 //! Identifiers of jobs, tasks and parts of a job's progress.
 //!
-//! Callers choose the id of a job; tasks and parts are identified by their position in the job. Each has one text form,
+//! Callers choose the id of a job; tasks, steps and parts are identified by their position in the job. Each has one text form,
 //! used in stored records, in logs and by workers.
 
 use std::fmt;
@@ -48,6 +48,14 @@
     pub index: u16,
 }
 
+impl TaskId {
+    /// Step that the task belongs to.
+    #[must_use]
+    pub const fn step_id(self) -> StepId {
+        StepId { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
@@ -68,6 +76,32 @@
     }
 }
 
+/// Step of an occurrence. Text form: `job.occurrence.step`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StepId {
+    /// Job that the step belongs to.
+    pub job: JobId,
+    /// Occurrence of the job's schedule, from 0.
+    pub occurrence: u32,
+    /// Index of the step in the job, from 0.
+    pub step: u16,
+}
+
+impl StepId {
+    /// All steps of a job.
+    #[must_use]
+    pub const fn all_of(job: JobId) -> RangeInclusive<Self> {
+        let first = Self { job, occurrence: 0, step: 0 };
+        first..=Self { job, occurrence: u32::MAX, step: u16::MAX }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 /// Part of the progress of an occurrence: some of its tasks. Text form: `job.occurrence.first`.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct PartId {
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -230,11 +230,11 @@
                     "the CPU share of a run was changed"
                 );
             }
-            Command::AskPolicy(step, names) => match workers.advise(&step, &names).await {
+            Command::AskPolicy(request) => match workers.advise(&request).await {
                 Some(tickets) => self.notify_dispatcher(epoch, |d, now| {
-                    d.policy_answered(now, &step, tickets.valid_ms, tickets.permitted);
+                    d.policy_answered(now, request.step, tickets.valid_ms, tickets.permitted);
                 }),
-                None => self.notify_dispatcher(epoch, |d, _| d.policy_unanswered(&step)),
+                None => self.notify_dispatcher(epoch, |d, now| d.policy_unanswered(now, request.step)),
             },
             Command::Move(machine, pool) => {
                 let outcome = self.platform.machines().move_to(&machine, &pool, epoch).await;
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use crate::catalog::Catalog;
-use crate::dispatch::command::{Poll, Start, Stop, Throttle};
+use crate::dispatch::command::{PolicyRequest, Poll, Start, Stop, Throttle};
 use crate::dispatch::event::{Machine, Outcome, Wave, WorkerRecord, WorkerStatus};
 use crate::record::Entry;
 
@@ -141,8 +141,8 @@
     fn stop(&self, stop: &Stop) -> impl Future<Output = Outcome>;
     /// Limits the CPU share of a run.
     fn throttle(&self, throttle: &Throttle) -> impl Future<Output = Outcome>;
-    /// Asks the placement policy which of the workers may run a step. None if it did not answer.
-    fn advise(&self, step: &str, workers: &[String]) -> impl Future<Output = Option<Tickets>>;
+    /// Asks the placement policy which of the workers may run a step. None if it did not answer in time.
+    fn advise(&self, request: &PolicyRequest) -> impl Future<Output = Option<Tickets>>;
 }
 
 /// Answer of a placement policy.
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rattanfall_jobs::dispatch::command::{Poll, Start, Stop, Throttle};
+use rattanfall_jobs::dispatch::command::{PolicyRequest, Poll, Start, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{
     EndReason, EndedRun, Machine, MachineState, Outcome, RunStatus, WorkerStatus,
 };
@@ -91,7 +91,7 @@
         Outcome::Taken
     }
 
-    async fn advise(&self, _: &str, _: &[String]) -> Option<Tickets> {
+    async fn advise(&self, _: &PolicyRequest) -> Option<Tickets> {
         None
     }
 }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -5,24 +5,26 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod directory;
+mod policy;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
-use rattanfall_jobs::dispatch::command::{Command, Poll, Start, Stop, Throttle};
+use rattanfall_jobs::dispatch::command::{Command, PolicyRequest, Poll, Start, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{
     EndReason, EndedRun, Machine, MachineState, Outcome, RunStatus, Wave, WorkerRecord, WorkerStatus,
 };
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::dispatch::{Dispatcher, Write};
-use rattanfall_jobs::ids::{JobId, TaskId};
+use rattanfall_jobs::ids::{JobId, StepId, TaskId};
 use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Entry, Intake, Owner, read_change};
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 use rattanfall_jobs::table::{JobState, Table};
 
 use directory::Directory;
+pub(crate) use policy::PolicyService;
 
 /// Time of day at the start of a test, in milliseconds since 1970.
 pub(crate) const UNIX: u64 = 1_700_000_000_000;
@@ -117,7 +119,10 @@
     pub(crate) upkeeps: Vec<(u64, String)>,
     pub(crate) moves: Vec<(u64, String, String)>,
     pub(crate) published: BTreeMap<u64, bool>,
-    pub(crate) asked: Vec<(String, Vec<String>)>,
+    /// Steps and workers that the policy was asked about while it had no service.
+    pub(crate) asked: Vec<(StepId, Vec<String>)>,
+    /// Service of the queues' policy; none if each request is answered at once.
+    pub(crate) policy: Option<PolicyService>,
     /// Duration of tasks if it differs from the declared one, by job.
     pub(crate) durations: BTreeMap<JobId, u64>,
     /// Jobs whose runs fail.
@@ -284,6 +289,7 @@
             moves: Vec::new(),
             published: BTreeMap::new(),
             asked: Vec::new(),
+            policy: None,
             durations: BTreeMap::new(),
             failing_jobs: BTreeSet::new(),
             metrics: BTreeMap::new(),
@@ -455,6 +461,7 @@
         self.now += ROUND_MS;
         self.run_workers();
         self.run_machines();
+        self.run_policy();
         self.write_records();
         if self.now.is_multiple_of(300) {
             self.publish_directory();
@@ -701,11 +708,7 @@
                 self.dispatcher.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
             }
             Command::Throttle(speed) => self.throttles.push((now, speed)),
-            Command::AskPolicy(step, workers) => {
-                self.asked.push((step.clone(), workers.clone()));
-                let good = workers.into_iter().take(2).map(|id| (id.clone(), format!("t-{id}"))).collect();
-                self.dispatcher.policy_answered(now, &step, 3_000, good);
-            }
+            Command::AskPolicy(request) => self.ask_policy(request),
             Command::Move(machine, pool) => {
                 self.moves.push((now, machine.clone(), pool.clone()));
                 self.take_down(&machine, MachineState::Moving, pool);
@@ -726,6 +729,31 @@
         }
     }
 
+    fn ask_policy(&mut self, request: PolicyRequest) {
+        let (now, step) = (self.now, request.step);
+        if let Some(service) = &mut self.policy {
+            if !service.accept(now, request) {
+                self.dispatcher.policy_unanswered(now, step);
+            }
+            return;
+        }
+        self.asked.push((step, request.workers.clone()));
+        let good = request.workers.into_iter().take(2).map(|id| (id.clone(), format!("t-{id}"))).collect();
+        self.dispatcher.policy_answered(now, step, 3_000, good);
+    }
+
+    /// Passes on what the service of the policy has decided.
+    fn run_policy(&mut self) {
+        let Some(service) = &mut self.policy else { return };
+        let valid_ms = service.terms.valid_ms;
+        for (step, permitted) in service.advance(self.now, ROUND_MS) {
+            match permitted {
+                Some(permitted) => self.dispatcher.policy_answered(self.now, step, valid_ms, permitted),
+                None => self.dispatcher.policy_unanswered(self.now, step),
+            }
+        }
+    }
+
     fn take_down(&mut self, name: &str, state: MachineState, pool: String) {
         let now = self.now;
         if let Some((machine, back)) = self.machines.get_mut(name) {
