Hold the state of a supervised task once

The peak memory of an instance on the large deployment grew by 13 to 27 MB with the supervision of tasks, to 94% of the smallest instances' memory; a process over its limit is killed.

Cause: each async block or function that is given a task holds it twice, once as its argument and once while it awaits it, and the supervision had three of them. Evidence: the task of a command grew from 1,280 to 5,248 bytes with the stand-in of the tests (larger with the adapter), and an owner has one for each poll that a worker holds.

Change: the supervision consists of combinators, which hold the task once.

--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -14,7 +14,7 @@
 mod owner;
 mod state;
 mod summaries;
-mod supervision;
+pub mod supervision;
 pub mod view;
 mod work;
 
--- a/crates/jobs/src/node/supervision.rs
+++ b/crates/jobs/src/node/supervision.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::future::CatchUnwind;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
@@ -44,27 +45,53 @@
         task: impl Future<Output = ()> + 'static,
     ) -> JoinHandle<()> {
         let node = Rc::clone(self);
-        spawn_local(async move { node.run_or_step_down(name, task).await })
+        spawn_local(caught(task).map(move |outcome| node.step_down_on(name, &outcome)))
     }
 
     /// Runs a task to its end. If it fails, the node gives up ownership.
-    pub(super) async fn run_or_step_down(&self, name: &'static str, task: impl Future<Output = ()>) {
-        if !self.contain(name, task).await {
+    pub(super) fn run_or_step_down(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = ()>,
+    ) -> impl Future<Output = ()> {
+        caught(task).map(move |outcome| self.step_down_on(name, &outcome))
+    }
+
+    /// Runs a task to its end, and logs its failure.
+    pub(super) fn contain(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = ()>,
+    ) -> impl Future<Output = ()> {
+        caught(task).map(move |outcome| self.log_failure(name, &outcome))
+    }
+
+    fn step_down_on(&self, name: &'static str, outcome: &Outcome) {
+        self.log_failure(name, outcome);
+        if outcome.is_err() {
             self.step_down("a task failed");
         }
     }
 
-    /// Runs a task to its end. False if it failed.
-    pub(super) async fn contain(&self, name: &'static str, task: impl Future<Output = ()>) -> bool {
-        let outcome = AssertUnwindSafe(task).catch_unwind().await;
-        if let Err(panic) = &outcome {
+    fn log_failure(&self, name: &'static str, outcome: &Outcome) {
+        if let Err(panic) = outcome {
             log::error!(task = name, why = message(&**panic); "a task of the instance failed");
             self.handle.meters.task_failed(name);
         }
-        outcome.is_ok()
     }
 }
 
+/// Outcome of a task; an error if it failed.
+type Outcome = Result<(), Box<dyn Any + Send>>;
+
+/// Catches the failure of a task.
+///
+/// A combinator holds the task once. An async block that is given it holds it twice, and each one around it doubles that; an
+/// owner has a task for each poll that a worker holds.
+pub fn caught<T: Future<Output = ()>>(task: T) -> CatchUnwind<AssertUnwindSafe<T>> {
+    AssertUnwindSafe(task).catch_unwind()
+}
+
 /// Message of a panic.
 fn message(panic: &(dyn Any + Send)) -> &str {
     let text = panic.downcast_ref::<String>().map(String::as_str);
