Count a job as started once a worker has taken one of its tasks

Cause: a job counted as started once a task was placed. A gang is placed member by member and taken back if one finds no room; the count stayed, and a published state never goes back.

Change: a confirmed start, a listed run or a listed end counts. It is published at once and stored with the next change of the job. A waiting gang is no longer stored with each pass.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -161,6 +161,8 @@
     dropped: Vec<JobId>,
     /// Removed jobs whose records could not be deleted from the intake.
     undeleted: Vec<JobId>,
+    /// Jobs that workers have begun since the last call of [`Self::take_started`].
+    started_jobs: Vec<JobId>,
     /// Lateness of the jobs that completed since the last call, in milliseconds.
     lateness: Vec<u64>,
     /// Time of day minus local time, in milliseconds.
@@ -228,6 +230,7 @@
             intake_until: 0,
             dropped: Vec::new(),
             undeleted: Vec::new(),
+            started_jobs: Vec::new(),
             lateness: Vec::new(),
             unix_offset: 0,
             wall_clock: unix_ms,
@@ -341,6 +344,11 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Jobs that workers have begun since the last call, whose state is to be published.
+    pub fn take_started(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.started_jobs)
+    }
+
     /// Lateness of the jobs that completed since the last call, in milliseconds; 0 for those on time.
     pub fn take_lateness(&mut self) -> Vec<u64> {
         std::mem::take(&mut self.lateness)
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -99,6 +99,7 @@
                     self.unsettled.remove(&(key, task));
                 }
                 self.ticket_used(task);
+                self.mark_started(task.job);
             }
             Outcome::Outdated => {
                 run.confirmed.get_or_insert(now);
--- a/crates/jobs/src/dispatch/systems/placing/mod.rs
+++ b/crates/jobs/src/dispatch/systems/placing/mod.rs
@@ -266,6 +266,8 @@
             return true;
         }
         let run = tasks.iter().map(|task| self.last_run(*task)).max().unwrap_or(0) + 1;
+        let Some(id) = tasks.first().map(|task| task.job) else { return true };
+        let was_dirty = self.dirty_jobs.contains(&id);
         let mut placed = Vec::new();
         for &task in tasks {
             let choice = self.choose(now, rooms, policy, step, task);
@@ -273,7 +275,10 @@
                 for (key, task, previous_run) in placed {
                     self.undo_placement(rooms, key, task, previous_run);
                 }
-                // The resources that were just released are no reason for another pass.
+                // The job is as before, and the resources that were just released are no reason for another pass.
+                if !was_dirty {
+                    self.dirty_jobs.remove(&id);
+                }
                 self.unchanged = true;
                 return choice != Choice::NoRoom;
             };
@@ -308,7 +313,6 @@
         let Some(row) = job.progress.task_mut(&job.submission, task) else { return };
         row.state = TaskState::Placed(place);
         row.run = number;
-        job.progress.started = true;
         self.touch(task.job);
         self.new_placements.push((task, number, key));
         self.add_run(key, task, run);
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -342,6 +342,9 @@
         let unplaced: Vec<RunStatus> =
             status.running.iter().filter(|listed| !known(&listed.task, listed.run)).cloned().collect();
         let target = target(worker);
+        for listed in status.running.iter().filter(|listed| !unread.contains(&listed.task.job)) {
+            self.mark_started(listed.task.job);
+        }
         self.counters.lost += lost.len() as u64;
         for task in lost {
             self.requeue(key, task, "the worker does not list the run");
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -74,6 +74,14 @@
         Some(run)
     }
 
+    /// Records that a worker has taken a task of a job. Callers see it at once; it is stored with the next change of the job.
+    pub(super) fn mark_started(&mut self, id: JobId) {
+        if let Some(job) = self.table.get_mut(id).filter(|job| !job.progress.started) {
+            job.mark_started();
+            self.started_jobs.push(id);
+        }
+    }
+
     /// Removes a run that did not start or is lost. The task waits again if this was its current run.
     pub(super) fn requeue(&mut self, key: WorkerKey, task: TaskId, why: &'static str) {
         let Some(run) = self.remove_run(key, task) else { return };
@@ -124,6 +132,7 @@
             self.counters.ends += 1;
             self.record_run_outcome(now, key, task.job, end.reason);
         }
+        self.mark_started(task.job);
         let Some(job) = self.table.get(task.job) else { return };
         let step = &job.submission.steps[usize::from(task.step)];
         let (long_running, gang) = (step.long_running, step.gang);
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -34,7 +34,12 @@
     /// Takes over the placed tasks of a job.
     pub(super) fn adopt_job(&mut self, now: u64, id: JobId) {
         self.stored_parts.adopt(id, &self.table.add_parts(id));
-        for (task, row) in self.placed_tasks(id) {
+        let placed = self.placed_tasks(id);
+        // The former owner may have shown callers that one of them has started.
+        if !placed.is_empty() {
+            self.mark_started(id);
+        }
+        for (task, row) in placed {
             let TaskState::Placed(place) = row.state.clone() else { continue };
             let key = self.worker_for(now, &place);
             self.adopt_run(now, key, task, &row);
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -56,7 +56,10 @@
                 dispatcher.take_lateness().into_iter().for_each(|late_ms| self.handle.meters.ended(late_ms));
                 let write = if idle { dispatcher.take_write(now) } else { None };
                 let dropped = dispatcher.take_dropped();
-                (dispatcher.take_commands(), write, dropped, dispatcher.fenced_out())
+                let started = dispatcher.take_started();
+                let decided = (dispatcher.take_commands(), write, dropped, dispatcher.fenced_out());
+                state.unpublished.extend(started);
+                decided
             };
             load.add(begun, write.as_ref(), commands.len());
             load.log(counted.1);
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -1,8 +1,8 @@
 //! Table of jobs and their progress.
 //!
 //! Each holder builds this table from the intake and progress topics, so that it can take over as owner. The owner
-//! changes its table first and stores the change afterwards; `Job::state` is derived from what has been stored, so
-//! it may be returned to callers.
+//! changes its table first and stores the change afterwards; `Job::state` is derived from what has been stored and
+//! from what workers have confirmed, so it may be returned to callers.
 
 mod progress;
 
@@ -57,13 +57,13 @@
     pub progress: Progress,
     /// True once the intake contains a cancellation.
     pub canceled: bool,
-    /// True if a task had started in the stored progress.
-    stored_started: bool,
+    /// True if callers see that a task has started.
+    shown_started: bool,
     stored_phase: Phase,
 }
 
 impl Job {
-    /// State according to the stored progress.
+    /// State according to the stored progress and to the starts that workers have confirmed.
     #[must_use]
     pub fn state(&self) -> JobState {
         match self.stored_phase {
@@ -71,14 +71,20 @@
             Phase::Failed => JobState::Failed,
             Phase::Canceled => JobState::Canceled,
             Phase::Active if self.canceled => JobState::Canceled,
-            Phase::Active if self.stored_started => JobState::Running,
+            Phase::Active if self.shown_started => JobState::Running,
             Phase::Active => JobState::Queued,
         }
     }
 
+    /// Records that a worker has taken a task, which is visible to callers at once.
+    pub const fn mark_started(&mut self) {
+        self.progress.started = true;
+        self.shown_started = true;
+    }
+
     /// Records that progress was stored, which makes it visible to callers. A final phase does not change again.
     pub fn mark_stored(&mut self, started: bool, phase: Phase) {
-        self.stored_started |= started;
+        self.shown_started |= started;
         if self.stored_phase == Phase::Active {
             self.stored_phase = phase;
         }
@@ -147,7 +153,7 @@
         let (started, phase) = (progress.started, progress.phase);
         let canceled = self.canceled.contains(&id);
         let submission = Arc::new(submission);
-        let job = Job { submission, progress, canceled, stored_started: started, stored_phase: phase };
+        let job = Job { submission, progress, canceled, shown_started: started, stored_phase: phase };
         self.jobs.insert(id, job);
         Some(id)
     }
--- a/crates/jobs/src/table/progress.rs
+++ b/crates/jobs/src/table/progress.rs
@@ -101,7 +101,7 @@
 pub struct Progress {
     /// Final once it is no longer `Active`.
     pub phase: Phase,
-    /// True once a task was placed.
+    /// True once a worker has taken a task.
     pub started: bool,
     /// Number of occurrences that have begun.
     pub begun: u32,
--- a/crates/jobs/tests/model/mod.rs
+++ b/crates/jobs/tests/model/mod.rs
@@ -350,6 +350,7 @@
             owner.dispatcher.contacted(now);
         }
         owner.dispatcher.tick(now);
+        owner.dispatcher.take_started();
         if owner.write.is_none() {
             owner.write = owner.dispatcher.take_write(now).map(|write| (write, false));
         }
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -24,6 +24,19 @@
     .await;
 }
 
+/// Guards against a start that callers of other nodes see only with the next change of the job.
+#[tokio::test(start_paused = true)]
+async fn every_node_shows_that_a_job_has_started() {
+    Cluster::run(2, |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 1)).await, Answer::Accepted(_)));
+        cluster.run_for(400).await;
+        for node in 0..2 {
+            assert_eq!(cluster.call(node, read(1)).await, Answer::State(JobState::Running));
+        }
+    })
+    .await;
+}
+
 /// A node that answers from its own view alone reports a job as missing that another node has just accepted.
 #[tokio::test(start_paused = true)]
 async fn a_job_just_accepted_by_another_node_is_found() {
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -429,3 +429,41 @@
     world.run_for(1_000);
     assert!(world.starts.len() >= STARTS, "{} starts in a second", world.starts.len());
 }
+
+/// Guards against gangs that are shown as running while they wait for room, and are missing from the pending jobs.
+#[test]
+fn a_gang_that_waits_for_room_is_pending() {
+    let mut world = World::new(6);
+    world.run_for(500);
+    for id in 1..=5 {
+        world.submit(job(id, vec![step(1, cores(10), 30_000)]));
+    }
+    world.run_for(500);
+    assert_eq!(world.starts.len(), 5);
+    // Two of these tasks fit on the free worker.
+    for (id, count) in [(6, 7), (7, 6), (8, 5), (9, 4), (10, 3)] {
+        world.submit(job(id, vec![Step { gang: true, ..step(count, cores(8), 200) }]));
+    }
+    world.run_for(6_500);
+    (6..=10).for_each(|id| assert_eq!(world.state(id), Some(JobState::Queued), "job {id}"));
+    assert_eq!(world.dispatcher.table.pending().get("quotes"), Some(&5));
+    world.dispatcher.tick(world.now);
+    assert!(world.dispatcher.take_write(world.now).is_none(), "waiting gangs are stored again and again");
+    world.run_for(40_000);
+    (6..=10).for_each(|id| assert_eq!(world.state(id), Some(JobState::Completed), "job {id}"));
+}
+
+/// Guards against jobs that are shown as running although no worker has taken a task.
+#[test]
+fn a_job_that_no_worker_has_taken_is_pending() {
+    let mut world = World::new(2);
+    world.run_for(500);
+    world.workers.values_mut().for_each(|worker| worker.partitioned = true);
+    world.submit(job(1, vec![step(2, cores(1), 300)]));
+    world.run_for(5_000);
+    assert_eq!(world.starts.len(), 0);
+    assert_eq!(world.state(1), Some(JobState::Queued));
+    world.workers.values_mut().for_each(|worker| worker.partitioned = false);
+    world.run_for(5_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -476,6 +476,7 @@
             self.dispatcher.intake_read(self.now);
         }
         self.dispatcher.tick(self.now);
+        self.dispatcher.take_started();
         if !self.down
             && let Some(write) = self.dispatcher.take_write(self.now)
         {
