--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -305,13 +305,17 @@
         let (stop_ms, checkpoint_bytes) = (self.options.stop_ms, self.options.checkpoint_bytes);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let mut lost = Vec::new();
+        let mut begun = Vec::new();
         for (task, run) in &mut worker.runs {
             let listed =
                 status.running.iter().find(|listed| listed.task == *task && listed.run == run.number);
             match listed {
                 Some(listed) => {
                     run.listed = true;
-                    run.confirmed.get_or_insert(now);
+                    if run.confirmed.is_none() {
+                        run.confirmed = Some(now);
+                        begun.push(task.job);
+                    }
                     run.unlisted_polls = 0;
                     run.unanswered = 0;
                     if run.progress != listed.progress {
@@ -342,9 +346,8 @@
         let unplaced: Vec<RunStatus> =
             status.running.iter().filter(|listed| !known(&listed.task, listed.run)).cloned().collect();
         let target = target(worker);
-        for listed in status.running.iter().filter(|listed| !unread.contains(&listed.task.job)) {
-            self.mark_started(listed.task.job);
-        }
+        begun.extend(unplaced.iter().map(|listed| listed.task.job).filter(|id| !unread.contains(id)));
+        begun.into_iter().for_each(|id| self.mark_started(id));
         self.counters.lost += lost.len() as u64;
         for task in lost {
             self.requeue(key, task, "the worker does not list the run");
