Stop a start without an answer once its worker takes no new tasks

Callers saw a task begin on a worker 2.6 s after that had said that it leaves (DRAIN).

Cause: a start without an answer was repeated as it had been decided. A draining worker or an evacuated availability zone gave it up only while it had never been sent.

Change: when the repeat is due, the run is stopped on the worker if its start was sent, since that may still be carried out.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -45,8 +45,16 @@
             self.requeue(key, task, "the worker takes no new tasks");
             return;
         }
+        if closed && run.confirmed.is_some() {
+            run.next_order = None;
+            return;
+        }
         // The worker may have restarted as another kind since the start was first sent.
-        if clock.is_some() && !suits {
+        if closed || clock.is_some() && !suits {
+            log::info!(
+                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed;
+                "the worker no longer takes the task; its start is not repeated"
+            );
             self.stop_run(now, key, task);
             return;
         }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -113,6 +113,8 @@
     pub(crate) keeps_intake: bool,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) starts: Vec<(u64, TaskId, u32, String)>,
+    /// Start orders that were sent, whether or not they reached their worker.
+    pub(crate) start_orders: Vec<(u64, Start)>,
     pub(crate) polls: Vec<(u64, Poll)>,
     pub(crate) stops: Vec<(u64, TaskId, String)>,
     pub(crate) throttles: Vec<(u64, Throttle)>,
@@ -282,6 +284,7 @@
             keeps_intake: false,
             catalog,
             starts: Vec::new(),
+            start_orders: Vec::new(),
             polls: Vec::new(),
             stops: Vec::new(),
             throttles: Vec::new(),
@@ -679,6 +682,9 @@
 
     fn carry_out(&mut self, command: Command) {
         let now = self.now;
+        if let Command::Start(start) = &command {
+            self.start_orders.push((now, start.clone()));
+        }
         match &command {
             Command::Start(start) if self.postpone(&command) => {
                 let worker = &start.target.worker;
