Keep the runs of a worker whose machine's order is answered late

Callers would see tasks run on two workers at once (TWICE).

Cause: the platform accepts an order to a machine that was carried out before. When answers were lost until the machine was back, the answer to a repeat ended the runs of the worker that the list named by then, and their tasks were placed elsewhere.

Evidence: machine_orders::a_late_answer_about_a_machine_ends_no_run_of_its_next_worker failed: "at 5110 ms, left:" the four tasks of job 2 with two runs each, "right: []".

Change: an order notes the process of the worker that was emptied for it. Its answer ends the runs of that process only.

Result: the test holds. The simulated machines can lose answers or refuse orders now, and accept a move that was carried out.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -16,6 +16,7 @@
 use super::super::worker::{Worker, WorkerKey};
 use crate::ports::MachineOutcome;
 use crate::record::LastOrder;
+use crate::table::Placement;
 
 pub(in super::super) use demand::Demand;
 pub use upkeep::WaveProgress;
@@ -62,6 +63,15 @@
 pub(in super::super) struct Order {
     pub(super) goal: Goal,
     pub(super) stage: Stage,
+    /// Process of the worker that was emptied for it; none before, or if there is no worker.
+    pub(super) emptied: Option<Placement>,
+}
+
+impl Order {
+    /// Order whose machine is emptied from now on.
+    pub(super) const fn new(now: u64, goal: Goal) -> Self {
+        Self { goal, stage: Stage::Emptying(now), emptied: None }
+    }
 }
 
 /// Machine with its order.
@@ -187,8 +197,12 @@
 
     /// Stores the time of an order to an empty machine; the order is sent once that is stored.
     pub(super) fn order_machine(&mut self, name: &str) {
-        let Some(row) = self.fleet.rows.get_mut(name) else { return };
-        let Some(order) = &mut row.order else { return };
+        let Some(row) = self.fleet.rows.get(name) else { return };
+        let place = self.machine_worker(row).and_then(|key| self.workers.get(key)).map(Worker::placement);
+        let Some(order) = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut()) else { return };
+        if matches!(order.stage, Stage::Emptying(_)) {
+            order.emptied = place;
+        }
         order.stage = Stage::Ordered;
         let instance = self.table.owner.instance().to_owned();
         self.table.orders.insert(name.to_owned(), LastOrder { at: self.wall_clock, instance });
@@ -233,8 +247,13 @@
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
                 let goal = order.goal.clone();
+                let emptied = order.emptied.clone();
+                // An order that got no answer may have been carried out before the present worker existed.
+                let ended = |key: &WorkerKey| {
+                    self.workers.get(*key).map(Worker::placement).is_some_and(|place| Some(place) == emptied)
+                };
                 let worker = row.machine.worker.clone();
-                if let Some(key) = worker.and_then(|id| self.worker_key(&id)) {
+                if let Some(key) = worker.and_then(|id| self.worker_key(&id)).filter(ended) {
                     self.mark_runs_lost(key, "the machine left its pool");
                     if let Some(worker) = self.workers.get_mut(key) {
                         worker.listed = false;
--- a/crates/jobs/src/dispatch/systems/fleet/moves.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/moves.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use super::super::super::Dispatcher;
-use super::{Demand, Goal, MachineRow, Order, Stage};
+use super::{Demand, Goal, MachineRow, Order};
 use crate::dispatch::event::MachineState;
 
 /// Time for which a pool must have a surplus before a machine is parked, in milliseconds. A move to standby
@@ -172,7 +172,7 @@
     fn start_move(&mut self, now: u64, name: &str, pool: &str) {
         if let Some(row) = self.fleet.rows.get_mut(name) {
             log::info!(machine = name, from = row.machine.pool.as_str(), to = pool; "the machine changes its pool");
-            row.order = Some(Order { goal: Goal::Pool(pool.to_owned()), stage: Stage::Emptying(now) });
+            row.order = Some(Order::new(now, Goal::Pool(pool.to_owned())));
         }
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -8,7 +8,7 @@
 use super::super::super::Dispatcher;
 use super::super::super::command::Command;
 use super::super::super::event::{self, MachineState};
-use super::{Goal, MachineRow, Order, Stage};
+use super::{Goal, MachineRow, Order};
 
 /// Time from the start of emptying a machine until it serves again, without the upkeep itself, in
 /// milliseconds.
@@ -128,7 +128,7 @@
             }
             if let Some(row) = self.fleet.rows.get_mut(&name) {
                 log::info!(machine = name.as_str(), wave = number, cost = cost, pressing = urgent; "the machine is emptied for upkeep");
-                row.order = Some(Order { goal: goal.clone(), stage: Stage::Emptying(now) });
+                row.order = Some(Order::new(now, goal.clone()));
                 slots -= 1;
             }
         }
--- /dev/null
+++ b/crates/jobs/tests/machine_orders.rs
@@ -0,0 +1,58 @@
+//! Orders to machines that are repeated, because they could not be carried out or got no answer. Meanwhile the machine may
+//! have another worker, with runs.
+
+mod support;
+
+use rattanfall_jobs::dispatch::options::Options;
+use rattanfall_jobs::table::JobState;
+use support::{MachineFault, ROUND_MS, World, catalog, cores, job, step};
+
+/// World with machines in service and in standby, whose list can be read each second only.
+fn world(in_service: usize, standby: usize) -> World {
+    let mut catalog = catalog();
+    catalog.pools.retain(|pool| pool.name == "red" || standby > 0 && pool.standby);
+    let mut world = World::with(catalog, &[("red", in_service), ("spare", standby)]);
+    world.set_options(Options { list_busy_ms: 1_000, ..Options::default() });
+    world.run_for(1_000);
+    world
+}
+
+/// Runs the simulation until a condition is met.
+fn run_until(world: &mut World, what: &str, met: impl Fn(&World) -> bool) {
+    for _ in 0..1_000 {
+        if met(world) {
+            return;
+        }
+        world.round();
+    }
+    panic!("{what}: not within {} ms", 1_000 * ROUND_MS);
+}
+
+/// Runs the simulation and checks that no task runs on two workers at once.
+fn run_checked(world: &mut World, ms: u64) {
+    for _ in 0..ms / ROUND_MS {
+        world.round();
+        assert_eq!(world.running_twice(), [], "at {} ms", world.now);
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against runs that are given up because an order that was carried out before their worker existed is answered.
+#[test]
+fn a_late_answer_about_a_machine_ends_no_run_of_its_next_worker() {
+    let mut world = world(2, 0);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_until(&mut world, "upkeep", |world| world.upkeeps.len() == 1);
+    // The other machine is busy until the next worker has runs.
+    world.submit(job(1, vec![step(1, cores(16), 3_500)]));
+    run_checked(&mut world, 300);
+    world.submit(job(2, vec![step(4, cores(1), 4_000)]));
+    run_until(&mut world, "start on the next worker", |world| world.starts.len() == 5);
+    run_until(&mut world, "end of the first job", |world| world.state(1) == Some(JobState::Completed));
+    world.machine_fault = None;
+    run_checked(&mut world, 12_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 5, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -95,6 +95,15 @@
     pub(crate) drops_answers: bool,
 }
 
+/// What is wrong with the interface to the machines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum MachineFault {
+    /// It does nothing and asks to repeat orders later.
+    Refuses,
+    /// It carries out orders, but their answers are lost.
+    DropsAnswers,
+}
+
 /// Simulated fleet with a dispatcher.
 pub(crate) struct World {
     pub(crate) now: u64,
@@ -120,6 +129,8 @@
     pub(crate) throttles: Vec<(u64, Throttle)>,
     pub(crate) upkeeps: Vec<(u64, String)>,
     pub(crate) moves: Vec<(u64, String, String)>,
+    /// Fault of the interface to the machines; none if it works.
+    pub(crate) machine_fault: Option<MachineFault>,
     pub(crate) published: BTreeMap<u64, bool>,
     /// Steps and workers that the policy was asked about while it had no service.
     pub(crate) asked: Vec<(StepId, Vec<String>)>,
@@ -290,6 +301,7 @@
             throttles: Vec::new(),
             upkeeps: Vec::new(),
             moves: Vec::new(),
+            machine_fault: None,
             published: BTreeMap::new(),
             asked: Vec::new(),
             policy: None,
@@ -718,16 +730,21 @@
             Command::AskPolicy(request) => self.ask_policy(request),
             Command::Move(machine, pool) => {
                 self.moves.push((now, machine.clone(), pool.clone()));
-                self.take_down(&machine, MachineState::Moving, pool);
+                let (row, back) = &self.machines[&machine];
+                let done = match (row.state, back) {
+                    (MachineState::Up, _) => row.pool == pool,
+                    (MachineState::Moving, Some((_, goal))) => *goal == pool,
+                    _ => false,
+                };
+                self.order_machine(&machine, MachineState::Moving, pool, done);
             }
             Command::Maintain(machine, _) => {
-                if self.upkeeps.iter().any(|(_, name)| *name == machine) {
-                    // The platform accepts an order that was carried out before and does nothing.
-                    return self.dispatcher.machine_ordered(now, &machine, MachineOutcome::Taken);
+                let done = self.upkeeps.iter().any(|(_, name)| *name == machine);
+                if !done && self.machine_fault != Some(MachineFault::Refuses) {
+                    self.upkeeps.push((now, machine.clone()));
                 }
-                self.upkeeps.push((now, machine.clone()));
                 let pool = self.machines[&machine].0.pool.clone();
-                self.take_down(&machine, MachineState::Upkeep, pool);
+                self.order_machine(&machine, MachineState::Upkeep, pool, done);
             }
             Command::Publish(wave, complete) => {
                 self.published.insert(wave, complete);
@@ -761,9 +778,17 @@
         }
     }
 
-    fn take_down(&mut self, name: &str, state: MachineState, pool: String) {
+    /// Carries out an order to a machine. One that was carried out before is accepted and does nothing.
+    fn order_machine(&mut self, name: &str, state: MachineState, pool: String, done: bool) {
         let now = self.now;
-        if let Some((machine, back)) = self.machines.get_mut(name) {
+        let outcome = match self.machine_fault {
+            None => MachineOutcome::Taken,
+            Some(MachineFault::DropsAnswers) => MachineOutcome::Unknown,
+            Some(MachineFault::Refuses) => {
+                return self.dispatcher.machine_ordered(now, name, MachineOutcome::NotNow);
+            }
+        };
+        if !done && let Some((machine, back)) = self.machines.get_mut(name) {
             machine.state = state;
             *back = Some((now + MACHINE_MS, pool));
             if let Some(id) = machine.worker.take() {
@@ -771,7 +796,7 @@
                 self.directory.remove(&id);
             }
         }
-        self.dispatcher.machine_ordered(now, name, MachineOutcome::Taken);
+        self.dispatcher.machine_ordered(now, name, outcome);
     }
 
     fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
