Check the runs of a machine before its order is repeated

Cause: a machine is emptied before its order is first sent. A repeat wasn't checked: the machine may have crashed meanwhile and have a new worker, which gets tasks until the list of machines names it.

Evidence: machine_orders::a_repeated_order_waits_for_the_runs_of_a_new_worker failed at 4 of 5 offsets, e.g. offset 200: 4 tasks started at 7210 on w002-red-00 and again at 9910 on w003-red-00; left: 8, right: 4. a_move_that_the_list_shows_as_done_is_not_repeated failed: left: [(4700, "spare-02", "red"), (5100, ..), (5500, ..)], right: [].

Change: an order whose machine has runs when it is about to be sent goes back to emptying. What the list shows as carried out doesn't: a move is complete then, and an upkeep that has begun is ordered again whatever runs there, which the platform accepts and which ends nothing.

Result: all 7 cases of machine_orders, upkeep and moves hold.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -414,7 +414,7 @@
         }
         while self.unstored_orders.front().is_some_and(|(number, _)| *number <= write.number) {
             if let Some((_, machine)) = self.unstored_orders.pop_front() {
-                self.send_order(&machine);
+                self.send_order(now, &machine);
             }
         }
         for worker in self.workers.values_mut() {
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -65,12 +65,14 @@
     pub(super) stage: Stage,
     /// Process of the worker that was emptied for it; none before, or if there is no worker.
     pub(super) emptied: Option<Placement>,
+    /// True once the list has shown the upkeep that it asks for.
+    pub(super) begun: bool,
 }
 
 impl Order {
     /// Order whose machine is emptied from now on.
     pub(super) const fn new(now: u64, goal: Goal) -> Self {
-        Self { goal, stage: Stage::Emptying(now), emptied: None }
+        Self { goal, stage: Stage::Emptying(now), emptied: None, begun: false }
     }
 }
 
@@ -209,10 +211,18 @@
         self.dirty_orders.insert(name.to_owned());
     }
 
-    /// Sends the order of a machine.
-    pub(in super::super) fn send_order(&mut self, name: &str) {
+    /// Sends the order of a machine, or empties the machine again if its worker has got runs since.
+    pub(in super::super) fn send_order(&mut self, now: u64, name: &str) {
         let Some(row) = self.fleet.rows.get(name) else { return };
-        let Some(order) = &row.order else { return };
+        let worker = self.machine_worker(row).and_then(|key| self.workers.get(key));
+        let busy = worker.is_some_and(|worker| !worker.runs.is_empty());
+        let Some(order) = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut()) else { return };
+        // One that was carried out is accepted again and ends nothing.
+        if busy && !order.begun {
+            log::info!(machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
+            order.stage = Stage::Emptying(now);
+            return;
+        }
         let command = match &order.goal {
             Goal::Upkeep(wave) => Command::Maintain(name.to_owned(), *wave),
             Goal::Pool(pool) => Command::Move(name.to_owned(), pool.clone()),
@@ -293,8 +303,16 @@
 
     /// Removes an order that a newer list shows as carried out.
     fn finish_order(&mut self, asked: u64, status: &Machine) {
-        let Some(Order { stage: Stage::Taken(at), .. }) = &self.order else { return };
-        if *at < asked && status.state == MachineState::Up {
+        let Some(order) = &mut self.order else { return };
+        let sent = matches!(order.stage, Stage::Ordered | Stage::Waiting(_));
+        let upkeep = matches!(order.goal, Goal::Upkeep(_));
+        order.begun |= sent && upkeep && status.state == MachineState::Upkeep;
+        let done = match (order.stage, &order.goal) {
+            (Stage::Taken(at), _) => at < asked,
+            (Stage::Waiting(_), Goal::Pool(pool)) => status.pool == *pool,
+            _ => false,
+        };
+        if done && status.state == MachineState::Up {
             self.order = None;
             self.idle = None;
         }
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -5,6 +5,7 @@
 
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::table::JobState;
+use rstest::rstest;
 use support::{MachineFault, ROUND_MS, World, catalog, cores, job, step};
 
 /// World with machines in service and in standby, whose list can be read each second only.
@@ -56,3 +57,40 @@
     assert_eq!(world.starts.len(), 5, "{:?}", world.starts);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against an order that is repeated although the machine, empty when it was first sent, has runs again.
+#[rstest]
+fn a_repeated_order_waits_for_the_runs_of_a_new_worker(#[values(0, 200, 400, 600, 800)] offset: u64) {
+    let mut world = world(1, 0);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    world.run_for(1_000 + offset);
+    world.crash("red-00");
+    world.submit(job(1, vec![step(4, cores(1), 2_000)]));
+    run_until(&mut world, "restart", |world| !world.workers.is_empty());
+    run_checked(&mut world, 1_000);
+    world.machine_fault = None;
+    run_checked(&mut world, 8_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against a move that is ordered again although the list shows that it was carried out.
+#[test]
+fn a_move_that_the_list_shows_as_done_is_not_repeated() {
+    let mut world = world(1, 3);
+    world.moves.clear();
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    for id in 1..=8 {
+        world.submit(job(id, vec![step(8, cores(2), 2_000)]));
+    }
+    run_until(&mut world, "move", |world| !world.moves.is_empty());
+    run_checked(&mut world, 3_500);
+    let machine = world.moves[0].1.clone();
+    assert!(world.workers.values().any(|worker| worker.machine == machine));
+    let before = world.moves.len();
+    run_checked(&mut world, 1_000);
+    assert_eq!(world.moves[before..], []);
+}
