Repeat the order for a run's speed until it is answered

Callers would see a serving task stay over its target (HARM), or tasks that fill stay slowed down for good.

Cause: the speed that was ordered last was taken for the run's speed. An order that got no answer wasn't repeated once the wanted speed no longer changed, and a new owner took each run to be at full speed, whatever its predecessor had ordered.

Change: the outcome is reported to the dispatcher. While the speed isn't known, the order is sent with the next change that may be due.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -380,6 +380,7 @@
                     confirmed: Some(now),
                     stopping: !resumed,
                     superseded: !resumed,
+                    speed_known: false,
                     former_stop: FormerStop::Possible.after_listing(now, self.options.stop_ms),
                     ..run
                 };
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -41,6 +41,7 @@
             progress: 0,
             progress_at: now,
             speed_percent: 100,
+            speed_known: true,
             long_running: step.long_running,
             checkpoint: String::new(),
             target_ms: step.target_ms.filter(|_| step.long_running && !step.best_effort),
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -96,7 +96,14 @@
         let former_stop = FormerStop::Possible;
         // One poll that does not list the run suffices to requeue its task, since the worker answers under the
         // new epoch.
-        let run = Run { confirmed: Some(0), unlisted_polls: u32::MAX, sent: true, former_stop, ..run };
+        let run = Run {
+            confirmed: Some(0),
+            unlisted_polls: u32::MAX,
+            sent: true,
+            former_stop,
+            speed_known: false,
+            ..run
+        };
         self.add_run(key, task, run);
     }
 
--- a/crates/jobs/src/dispatch/systems/throttling.rs
+++ b/crates/jobs/src/dispatch/systems/throttling.rs
@@ -3,9 +3,10 @@
 
 use super::super::Dispatcher;
 use super::super::command::{Command, Throttle};
-use super::super::event::WorkerStatus;
+use super::super::event::{Outcome, WorkerStatus};
 use super::super::worker::WorkerKey;
 use super::polls::target;
+use crate::ids::TaskId;
 
 /// Share of a serving task's target above which best-effort tasks are slowed down, in percent.
 const SLOW_DOWN_PERCENT: u64 = 85;
@@ -39,10 +40,11 @@
                 continue;
             }
             let percent = next_speed(run.speed_percent, worst);
-            if percent == run.speed_percent {
+            if percent == run.speed_percent && run.speed_known {
                 continue;
             }
             run.last_change = now;
+            run.speed_known = true;
             run.speed_percent = percent;
             orders.push(Throttle {
                 target: target.clone(),
@@ -54,6 +56,16 @@
         }
         self.commands.extend(orders.into_iter().map(Command::Throttle));
     }
+
+    /// Handles the outcome of an order to change a run's speed.
+    pub fn throttled(&mut self, id: &str, task: TaskId, number: u32, outcome: Outcome) {
+        self.fenced_out |= outcome == Outcome::Fenced;
+        let worker = self.worker_key(id).and_then(|key| self.workers.get_mut(key));
+        let run = worker.and_then(|worker| worker.runs.get_mut(&task)).filter(|run| run.number == number);
+        if let Some(run) = run {
+            run.speed_known &= outcome == Outcome::Taken;
+        }
+    }
 }
 
 /// Next speed of a best-effort task, in percent of full speed. `worst` is the highest share of its target
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -74,6 +74,8 @@
     pub progress_at: u64,
     /// Processor share that was last ordered, in percent of full speed.
     pub speed_percent: u8,
+    /// False if that order may be lost, or if a former owner may have ordered another share.
+    pub speed_known: bool,
     /// True if the task runs until its job is cancelled.
     pub long_running: bool,
     /// Newest checkpoint that the worker listed; empty if there is none.
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -232,6 +232,9 @@
                     outcome:? = outcome;
                     "the CPU share of a run was changed"
                 );
+                self.notify_dispatcher(epoch, |d, _| {
+                    d.throttled(&throttle.target.worker, throttle.task, throttle.run, outcome);
+                });
             }
             Command::AskPolicy(request) => match workers.advise(&request).await {
                 Some(tickets) => self.notify_dispatcher(epoch, |d, now| {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -129,6 +129,8 @@
     pub(crate) throttles: Vec<(u64, Throttle)>,
     pub(crate) upkeeps: Vec<(u64, String)>,
     pub(crate) moves: Vec<(u64, String, String)>,
+    /// True while no order about the speed of a run reaches its worker.
+    pub(crate) loses_throttles: bool,
     /// Fault of the interface to the machines; none if it works.
     pub(crate) machine_fault: Option<MachineFault>,
     pub(crate) published: BTreeMap<u64, bool>,
@@ -301,6 +303,7 @@
             throttles: Vec::new(),
             upkeeps: Vec::new(),
             moves: Vec::new(),
+            loses_throttles: false,
             machine_fault: None,
             published: BTreeMap::new(),
             asked: Vec::new(),
@@ -726,7 +729,11 @@
                 let outcome = self.stop(&stop);
                 self.dispatcher.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
             }
-            Command::Throttle(speed) => self.throttles.push((now, speed)),
+            Command::Throttle(throttle) => {
+                let outcome = self.throttle(&throttle);
+                self.throttles.push((now, throttle.clone()));
+                self.dispatcher.throttled(&throttle.target.worker, throttle.task, throttle.run, outcome);
+            }
             Command::AskPolicy(request) => self.ask_policy(request),
             Command::Move(machine, pool) => {
                 self.moves.push((now, machine.clone(), pool.clone()));
@@ -915,6 +922,22 @@
         Outcome::Taken
     }
 
+    fn throttle(&mut self, throttle: &Throttle) -> Outcome {
+        let Some(worker) = self.workers.get_mut(&throttle.target.worker).filter(|w| !w.partitioned) else {
+            return Outcome::Unknown;
+        };
+        if self.loses_throttles {
+            return Outcome::Unknown;
+        }
+        if throttle.token < worker.token {
+            return Outcome::Fenced;
+        }
+        if let Some(run) = worker.runs.get_mut(&throttle.task).filter(|run| run.number == throttle.run) {
+            run.speed = throttle.percent;
+        }
+        Outcome::Taken
+    }
+
     fn step_of(&self, task: TaskId) -> &Step {
         let submission = self.submissions.iter().find(|s| s.id == task.job).expect("the job is known");
         &submission.steps[usize::from(task.step)]
