--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -95,6 +95,15 @@
     pub(crate) drops_answers: bool,
 }
 
+/// What is wrong with the interface to the machines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum MachineFault {
+    /// It does nothing and asks to repeat orders later.
+    Refuses,
+    /// It carries out orders, but their answers are lost.
+    DropsAnswers,
+}
+
 /// Simulated fleet with a dispatcher.
 pub(crate) struct World {
     pub(crate) now: u64,
@@ -113,11 +122,17 @@
     pub(crate) keeps_intake: bool,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) starts: Vec<(u64, TaskId, u32, String)>,
+    /// Start orders that were sent, whether or not they reached their worker.
+    pub(crate) start_orders: Vec<(u64, Start)>,
     pub(crate) polls: Vec<(u64, Poll)>,
     pub(crate) stops: Vec<(u64, TaskId, String)>,
     pub(crate) throttles: Vec<(u64, Throttle)>,
     pub(crate) upkeeps: Vec<(u64, String)>,
     pub(crate) moves: Vec<(u64, String, String)>,
+    /// True while no order about the speed of a run reaches its worker.
+    pub(crate) loses_throttles: bool,
+    /// Fault of the interface to the machines; none if it works.
+    pub(crate) machine_fault: Option<MachineFault>,
     pub(crate) published: BTreeMap<u64, bool>,
     /// Steps and workers that the policy was asked about while it had no service.
     pub(crate) asked: Vec<(StepId, Vec<String>)>,
@@ -282,11 +297,14 @@
             keeps_intake: false,
             catalog,
             starts: Vec::new(),
+            start_orders: Vec::new(),
             polls: Vec::new(),
             stops: Vec::new(),
             throttles: Vec::new(),
             upkeeps: Vec::new(),
             moves: Vec::new(),
+            loses_throttles: false,
+            machine_fault: None,
             published: BTreeMap::new(),
             asked: Vec::new(),
             policy: None,
@@ -679,6 +697,9 @@
 
     fn carry_out(&mut self, command: Command) {
         let now = self.now;
+        if let Command::Start(start) = &command {
+            self.start_orders.push((now, start.clone()));
+        }
         match &command {
             Command::Start(start) if self.postpone(&command) => {
                 let worker = &start.target.worker;
@@ -708,20 +729,29 @@
                 let outcome = self.stop(&stop);
                 self.dispatcher.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
             }
-            Command::Throttle(speed) => self.throttles.push((now, speed)),
+            Command::Throttle(throttle) => {
+                let outcome = self.throttle(&throttle);
+                self.throttles.push((now, throttle.clone()));
+                self.dispatcher.throttled(&throttle.target.worker, throttle.task, throttle.run, outcome);
+            }
             Command::AskPolicy(request) => self.ask_policy(request),
             Command::Move(machine, pool) => {
                 self.moves.push((now, machine.clone(), pool.clone()));
-                self.take_down(&machine, MachineState::Moving, pool);
+                let (row, back) = &self.machines[&machine];
+                let done = match (row.state, back) {
+                    (MachineState::Up, _) => row.pool == pool,
+                    (MachineState::Moving, Some((_, goal))) => *goal == pool,
+                    _ => false,
+                };
+                self.order_machine(&machine, MachineState::Moving, pool, done);
             }
             Command::Maintain(machine, _) => {
-                if self.upkeeps.iter().any(|(_, name)| *name == machine) {
-                    // The platform accepts an order that was carried out before and does nothing.
-                    return self.dispatcher.machine_ordered(now, &machine, MachineOutcome::Taken);
+                let done = self.upkeeps.iter().any(|(_, name)| *name == machine);
+                if !done && self.machine_fault != Some(MachineFault::Refuses) {
+                    self.upkeeps.push((now, machine.clone()));
                 }
-                self.upkeeps.push((now, machine.clone()));
                 let pool = self.machines[&machine].0.pool.clone();
-                self.take_down(&machine, MachineState::Upkeep, pool);
+                self.order_machine(&machine, MachineState::Upkeep, pool, done);
             }
             Command::Publish(wave, complete) => {
                 self.published.insert(wave, complete);
@@ -755,9 +785,17 @@
         }
     }
 
-    fn take_down(&mut self, name: &str, state: MachineState, pool: String) {
+    /// Carries out an order to a machine. One that was carried out before is accepted and does nothing.
+    fn order_machine(&mut self, name: &str, state: MachineState, pool: String, done: bool) {
         let now = self.now;
-        if let Some((machine, back)) = self.machines.get_mut(name) {
+        let outcome = match self.machine_fault {
+            None => MachineOutcome::Taken,
+            Some(MachineFault::DropsAnswers) => MachineOutcome::Unknown,
+            Some(MachineFault::Refuses) => {
+                return self.dispatcher.machine_ordered(now, name, MachineOutcome::NotNow);
+            }
+        };
+        if !done && let Some((machine, back)) = self.machines.get_mut(name) {
             machine.state = state;
             *back = Some((now + MACHINE_MS, pool));
             if let Some(id) = machine.worker.take() {
@@ -765,7 +803,7 @@
                 self.directory.remove(&id);
             }
         }
-        self.dispatcher.machine_ordered(now, name, MachineOutcome::Taken);
+        self.dispatcher.machine_ordered(now, name, outcome);
     }
 
     fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
@@ -884,6 +922,22 @@
         Outcome::Taken
     }
 
+    fn throttle(&mut self, throttle: &Throttle) -> Outcome {
+        let Some(worker) = self.workers.get_mut(&throttle.target.worker).filter(|w| !w.partitioned) else {
+            return Outcome::Unknown;
+        };
+        if self.loses_throttles {
+            return Outcome::Unknown;
+        }
+        if throttle.token < worker.token {
+            return Outcome::Fenced;
+        }
+        if let Some(run) = worker.runs.get_mut(&throttle.task).filter(|run| run.number == throttle.run) {
+            run.speed = throttle.percent;
+        }
+        Outcome::Taken
+    }
+
     fn step_of(&self, task: TaskId) -> &Step {
         let submission = self.submissions.iter().find(|s| s.id == task.job).expect("the job is known");
         &submission.steps[usize::from(task.step)]
