Bound the restarts of a task that is slow on every worker

Cause: a run is compared with its step and its queue, and what was found is forgotten with the run. A task that is slow wherever it runs is stopped after 0.8 s each time, without end. A task that makes no progress for some time on each worker, and a gang of such tasks, fare the same; a speculative task gets a copy each second.

Change: the slow runs of a task, those superseded by a copy included, are counted until the task is done or its job ends. Each doubles the limits for the next run: the time limit, the least time and those of a standstill. A gang has one count. Only the first slow run excludes its worker from placement. The count isn't stored; a new owner begins anew.

Result: all of these tests pass; a task of 24 s declared with 0.8 s is stopped at most 4 times and done within 48 s.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
 use parts::StoredParts;
-use systems::{Durations, Fleet, PolicyTickets, StaleJobs, Track};
+use systems::{Durations, Fleet, PolicyTickets, StaleJobs, Stragglers, Track};
 pub use systems::{PoolLoad, WaveProgress};
 use worker::{Moment, PollState, Worker, WorkerKey};
 
@@ -172,6 +172,7 @@
     /// Time at which the store was last known to have no newer owner.
     last_contact: u64,
     durations: Durations,
+    stragglers: Stragglers,
     policy_tickets: PolicyTickets,
     fleet: Fleet,
     /// Counters since this owner started.
@@ -236,6 +237,7 @@
             wall_clock: unix_ms,
             last_contact: now,
             durations: Durations::default(),
+            stragglers: Stragglers::default(),
             policy_tickets: PolicyTickets::default(),
             fleet: Fleet::default(),
             counters: Counters::default(),
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -22,3 +22,4 @@
 pub use fleet::WaveProgress;
 pub use load::PoolLoad;
 pub(super) use policy::PolicyTickets;
+pub(super) use stragglers::Stragglers;
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -259,6 +259,7 @@
         log::info!(job:% = id, phase:? = phase, late_ms = late_ms; "the job ended");
         self.remove_tickets(id);
         self.durations.forget(id);
+        self.stragglers.forget(id);
         self.stop_job_runs(now, id);
     }
 
--- a/crates/jobs/tests/stragglers.rs
+++ b/crates/jobs/tests/stragglers.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::ids::{JobId, TaskId};
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
+use rstest::rstest;
 use support::{World, cores, job, step, task};
 
 fn speculative_step(count: u32) -> Step {
@@ -161,3 +162,104 @@
     assert_eq!((slow, world.stops.len()), (2, 2));
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// Number of starts of a task.
+fn starts(world: &World, id: TaskId) -> usize {
+    world.starts.iter().filter(|(_, task, _, _)| *task == id).count()
+}
+
+/// A task that is slow on every worker was stopped about each second without end.
+#[rstest]
+#[case::alone(1)]
+#[case::beside_short_tasks(4)]
+fn a_task_that_is_slow_on_every_worker_is_done(#[case] count: u32) {
+    let mut world = World::new(4);
+    world.stop_ms = 500;
+    world.task_durations.insert(task(1, 0, 0), 24_000);
+    world.submit(job(1, vec![step(count, cores(8), 800), Step { after: vec![0], ..step(1, cores(1), 300) }]));
+    world.run_for(48_000);
+    assert_eq!(world.state(1), Some(JobState::Completed), "{} starts", starts(&world, task(1, 0, 0)));
+    assert!(world.stops.len() <= 4, "{:?}", world.stops);
+}
+
+/// The same for a task that makes no progress for some time wherever it runs.
+#[test]
+fn a_task_that_stands_still_on_every_worker_for_some_time_is_done() {
+    let mut world = World::new(4);
+    world.task_durations.insert(task(1, 0, 0), 3_000);
+    world.submit(job(1, vec![step(1, cores(1), 3_000)]));
+    for _ in 0..6_000 {
+        if let Some((at, _, _, on)) = world.starts.last().cloned() {
+            let paused = (1_500..11_500).contains(&(world.now - at));
+            world.workers.get_mut(&on).expect("it is up").stuck = paused;
+        }
+        world.round();
+    }
+    assert_eq!(world.state(1), Some(JobState::Completed), "{} starts", starts(&world, task(1, 0, 0)));
+    assert!(world.stops.len() <= 4, "{:?}", world.stops);
+}
+
+/// A task that was slow on every worker got another copy about each second.
+#[test]
+fn a_task_that_is_slow_on_every_worker_gets_few_copies() {
+    let mut world = World::new(40);
+    world.durations.insert(JobId(1), 24_000);
+    world.submit(job(1, vec![speculative_step(1)]));
+    world.run_for(26_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(starts(&world, task(1, 0, 0)) <= 5, "{} starts", starts(&world, task(1, 0, 0)));
+}
+
+/// The same for a gang, of which each slow run ends those of all members.
+#[test]
+fn a_gang_that_stands_still_on_every_worker_for_some_time_is_done() {
+    let mut world = World::new(8);
+    world.submit(job(1, vec![Step { gang: true, spread: Some(1), ..step(8, cores(1), 3_000) }]));
+    for _ in 0..6_000 {
+        let begun = world.starts.last().map_or(0, |(at, ..)| *at);
+        let paused = (1_500..11_500).contains(&(world.now - begun));
+        world.workers.values_mut().for_each(|worker| worker.stuck = paused);
+        world.round();
+    }
+    let last = world.starts.last().map_or(0, |(_, _, run, _)| *run);
+    assert_eq!(world.state(1), Some(JobState::Completed), "run {last}");
+    assert!(last <= 5, "run {last}");
+}
+
+/// The workers of a task that is slow everywhere were kept from other tasks one after the other.
+#[test]
+fn the_second_slow_run_of_a_task_excludes_no_worker() {
+    let mut world = World::new(1);
+    world.durations.insert(JobId(1), 24_000);
+    world.submit(job(1, vec![step(1, cores(1), 800)]));
+    while world.stops.len() < 2 && world.now < 20_000 {
+        world.round();
+    }
+    world.submit(job(2, vec![step(1, cores(1), 300)]));
+    world.run_for(500);
+    assert_eq!((world.stops.len(), starts(&world, task(2, 0, 0))), (2, 1));
+}
+
+#[test]
+fn slow_runs_are_forgotten_with_their_task_and_their_job() {
+    let mut world = World::new(4);
+    let counted = |world: &World| format!("{:?}", world.dispatcher).matches("SlowRuns {").count();
+    for id in [1, 2] {
+        world.durations.insert(JobId(id), 60_000);
+        world.submit(job(id, vec![step(2, cores(1), 800)]));
+    }
+    world.task_durations.insert(task(1, 0, 0), 10_000);
+    while world.stops.len() < 4 && world.now < 20_000 {
+        world.round();
+    }
+    assert_eq!(counted(&world), 4);
+    while !world.finished.contains(&task(1, 0, 0)) && world.now < 60_000 {
+        world.round();
+    }
+    world.run_for(500);
+    assert_eq!(counted(&world), 3);
+    world.cancel(1);
+    assert_eq!(counted(&world), 2);
+    world.cancel(2);
+    assert_eq!(counted(&world), 0);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -125,6 +125,8 @@
     pub(crate) policy: Option<PolicyService>,
     /// Duration of tasks if it differs from the declared one, by job.
     pub(crate) durations: BTreeMap<JobId, u64>,
+    /// Duration of single tasks if it differs from that of their job.
+    pub(crate) task_durations: BTreeMap<TaskId, u64>,
     /// Jobs whose runs fail.
     pub(crate) failing_jobs: BTreeSet<JobId>,
     pub(crate) metrics: BTreeMap<TaskId, u64>,
@@ -291,6 +293,7 @@
             asked: Vec::new(),
             policy: None,
             durations: BTreeMap::new(),
+            task_durations: BTreeMap::new(),
             failing_jobs: BTreeSet::new(),
             metrics: BTreeMap::new(),
             checkpoint: String::new(),
@@ -880,10 +883,26 @@
         if let Some(run) = worker.runs.get_mut(&stop.task).filter(|run| run.number == stop.run) {
             run.ends = run.ends.min(self.now + self.stop_ms);
             run.reason = EndReason::Stopped;
+            self.break_gang(stop.task, stop.run);
         }
         Outcome::Taken
     }
 
+    /// Ends the other members of a gang of which a member was stopped.
+    fn break_gang(&mut self, stopped: TaskId, number: u32) {
+        if !self.step_of(stopped).gang {
+            return;
+        }
+        let now = self.now;
+        for (task, run) in self.workers.values_mut().flat_map(|worker| &mut worker.runs) {
+            let member = task.step_id() == stopped.step_id() && *task != stopped;
+            if member && run.number == number && run.reason != EndReason::Stopped {
+                run.ends = run.ends.min(now);
+                run.reason = EndReason::Broken;
+            }
+        }
+    }
+
     fn step_of(&self, task: TaskId) -> &Step {
         let submission = self.submissions.iter().find(|s| s.id == task.job).expect("the job is known");
         &submission.steps[usize::from(task.step)]
@@ -894,7 +913,8 @@
         if step.long_running {
             return LONG_RUNNING_MS;
         }
-        self.durations.get(&task.job).copied().unwrap_or(step.estimate_ms)
+        let own = self.task_durations.get(&task).or_else(|| self.durations.get(&task.job));
+        own.copied().unwrap_or(step.estimate_ms)
     }
 
     fn need(&self, task: TaskId) -> Resources {
