Learn no durations from runs that were seen late or resumed

Cause: the duration of a run, by which the other tasks of its step and its queue are judged, was counted from the first sign of it. A run whose start got no answer, on a worker that is silent for seconds, is first listed shortly before its end. A run of a former owner was projected from the takeover on, and one that had resumed from a checkpoint counted as the whole task. One such sample makes every other task of the step look several times too slow, wherever it runs.

Change: a run counts only if it did the whole work of its task and began at most 250 ms, or a quarter of its time, before the first sign of it. The line about a slow run tells the time that was expected.

Result: no stop in any of the three tests.

--- a/crates/jobs/src/dispatch/systems/durations.rs
+++ b/crates/jobs/src/dispatch/systems/durations.rs
@@ -2,6 +2,9 @@
 //!
 //! Declared durations are often far off, but the tasks of a step behave alike, and the jobs of a queue are declared by the
 //! same callers. Without this, a task whose caller declared too little looks like one on a slow worker.
+//!
+//! A run counts only if it did the whole work of its task and it is known when it began. One that resumed from a checkpoint
+//! or was first seen shortly before its end would make all others look slow.
 
 use std::collections::BTreeMap;
 
@@ -124,12 +127,12 @@
         let mut times = Vec::new();
         for (index, row) in (0_u16..).zip(rows) {
             let TaskState::Placed(place) = &row.state else { continue };
-            if Some(&place.worker) == own {
+            if Some(&place.worker) == own || !row.checkpoint.is_empty() {
                 continue;
             }
             let worker = self.worker_key(&place.worker).and_then(|key| self.workers.get(key));
             let run = worker.and_then(|worker| worker.runs.get(&TaskId { index, ..task }));
-            times.extend(run.and_then(|run| run.projected_ms(now)));
+            times.extend(run.filter(|run| run.begun(now).is_some()).and_then(|run| run.projected_ms(now)));
         }
         times.sort_unstable();
         times.get(times.len() / 2).copied()
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -144,7 +144,8 @@
         let finished = end.reason == EndReason::Done && !long_running && row.state != TaskState::Done;
         if finished {
             row.state = TaskState::Done;
-            if let Some(begun) = run.as_ref().and_then(|run| run.confirmed) {
+            let whole = row.checkpoint.is_empty();
+            if let Some(begun) = run.as_ref().and_then(|run| run.begun(now)).filter(|_| whole) {
                 let submission = Arc::clone(&job.submission);
                 self.durations.learn(&submission, task, now.saturating_sub(begun));
             }
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -85,8 +85,10 @@
         let slow: Vec<(TaskId, u32)> = runs.map(|(task, run)| (*task, run.number)).collect();
         for (task, number) in slow {
             let count = self.stragglers.record(self.counted_task(task), number);
+            let (expected_ms, by_siblings) = self.expected_ms(now, task);
             log::info!(
-                task:% = task, run = number, slow_runs = count, worker = self.worker_id(key);
+                task:% = task, run = number, slow_runs = count, expected_ms = expected_ms,
+                by_siblings = by_siblings, worker = self.worker_id(key);
                 "the run is far slower than declared"
             );
             // A second slow run shows that the task is slow, not the worker.
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -33,6 +33,10 @@
 /// Time after which a failing worker gets tasks again, in milliseconds.
 const RETRY_MS: u64 = 5_000;
 
+/// Error of the time at which a run began that doesn't matter, in milliseconds, and in percent of the time since.
+const START_ERROR_MS: u64 = 250;
+const START_ERROR_PERCENT: u64 = 25;
+
 /// Run of a task on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -101,6 +105,16 @@
         self.confirmed.is_none() && !self.stopping && self.unanswered == 0 && self.failed_connects == 0
     }
 
+    /// Time at which the run began; none if it may have begun long before the worker was known to have it.
+    #[must_use]
+    pub fn begun(&self, now: u64) -> Option<u64> {
+        let confirmed = self.confirmed?;
+        // A run of a former owner counts as confirmed at 0.
+        let error = confirmed.checked_sub(self.placed)?;
+        let elapsed = now.saturating_sub(confirmed);
+        (error <= START_ERROR_MS || error * 100 <= elapsed * START_ERROR_PERCENT).then_some(confirmed)
+    }
+
     /// Time that the run will take by its listed progress, in milliseconds; none without progress.
     #[must_use]
     pub fn projected_ms(&self, now: u64) -> Option<u64> {
--- a/crates/jobs/tests/stragglers.rs
+++ b/crates/jobs/tests/stragglers.rs
@@ -263,3 +263,65 @@
     world.cancel(2);
     assert_eq!(counted(&world), 0);
 }
+
+/// A new owner took the time since its takeover for that of a run that was nearly done, and stopped the other tasks of the step.
+#[test]
+fn a_run_that_was_taken_over_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 12_000) }]));
+    world.run_for(10_000);
+    let machine = world.workers[&world.starts[1].3].machine.clone();
+    world.crash(&machine);
+    while world.starts.len() < 3 && world.now < 20_000 {
+        world.round();
+    }
+    world.run_for(200);
+    world.take_over();
+    world.run_for(14_000);
+    assert_eq!(world.stops, []);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// A run whose start got no answer was listed just before its end, so its task seemed to take a fraction of its time, and the
+/// other tasks of the step were stopped.
+#[test]
+fn a_run_that_was_listed_late_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.submit(job(9, vec![step(1, cores(1), 60_000)]));
+    world.run_for(1_000);
+    let silent = world.starts[0].3.clone();
+    world.workers.get_mut(&silent).expect("it is up").drops_answers = true;
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 5_000) }]));
+    while world.starts.len() < 2 {
+        world.round();
+    }
+    assert_eq!(world.starts[1].3, silent);
+    world.workers.get_mut(&silent).expect("it is up").partitioned = true;
+    world.run_for(3_400);
+    let machine = world.workers[&world.starts[2].3].machine.clone();
+    world.crash(&machine);
+    world.run_for(1_100);
+    let worker = world.workers.get_mut(&silent).expect("it is up");
+    (worker.partitioned, worker.drops_answers) = (false, false);
+    world.run_for(10_000);
+    assert_eq!(world.stops, [], "{:?}", world.starts);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// A run that resumed from a checkpoint and was soon done made the other tasks of its step look slow.
+#[test]
+fn a_run_that_resumed_from_a_checkpoint_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.checkpoint = "saved".into();
+    world.task_durations.insert(task(1, 0, 1), 24_000);
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 8_000) }]));
+    world.run_for(7_500);
+    let (_, first, _, on) = world.starts[0].clone();
+    assert_eq!(first, task(1, 0, 0));
+    world.task_durations.insert(first, 600);
+    let machine = world.workers[&on].machine.clone();
+    world.crash(&machine);
+    world.run_for(20_000);
+    assert_eq!(world.stops, [], "{:?}", world.starts);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
