Bound the copies of a task whose workers fall silent

What callers saw: nothing but the price. A task that allows copies got another one with each missed poll of the worker of its newest run, however many it had.

Cause: the first missed poll of a worker gives its speculative tasks a second run at once, with nothing that limits their number.

Change: such copies count as slow runs of the task. The first one is still given at once; later ones only once the newest run is as old as the count demands, for which each missed poll is looked at instead of the first alone.

A task on a silent worker still gets its first copy at once (a_task_that_allows_copies_runs_elsewhere_while_its_worker_is_silent).

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -187,9 +187,12 @@
                     let gaps = u64::from(worker.missed_polls.min(MAX_BACKOFF_STEPS));
                     worker.poll_state = PollState::Idle(now + gaps * POLL_RETRY_MS);
                 }
-                if worker.missed_polls == 1 {
+                let first = worker.missed_polls == 1;
+                if first {
                     log::warn!(worker = id, outcome:? = outcome; "the worker does not answer");
-                    self.supersede_runs(key);
+                }
+                self.supersede_runs(now, key);
+                if first {
                     self.requeue_unsent(key);
                 }
             }
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -5,7 +5,8 @@
 //! allows speculative execution gets a second run beside the first instead.
 //!
 //! A task may also be slow itself, wherever it runs. Each slow run of a task therefore doubles the limits for its next one:
-//! the number of its slow runs grows with the logarithm of its duration, and their time stays within a multiple of it.
+//! the number of its slow runs grows with the logarithm of its duration, and their time stays within a multiple of it. Runs
+//! that got a copy because their worker is silent count as slow ones, so that outages don't add copies without end.
 
 use std::collections::BTreeMap;
 
@@ -145,14 +146,20 @@
         if gang { TaskId { index: 0, ..task } } else { task }
     }
 
-    /// Makes the speculative tasks of a worker that does not answer available for a second run at once.
-    pub(super) fn supersede_runs(&mut self, key: WorkerKey) {
+    /// Makes the speculative tasks of a worker that does not answer available for a second run: at once the first time, and
+    /// later the more copies a task got.
+    pub(super) fn supersede_runs(&mut self, now: u64, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
-        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
-        for task in tasks {
-            if self.allows_copies(task) {
-                self.supersede_run(key, task);
-            }
+        let due = |task: TaskId, run: &Run| {
+            let least = SLOW_MIN_MS * (self.stragglers.factor(task) - 1);
+            let current = run.sent && !run.superseded && !run.stopping;
+            current && self.allows_copies(task) && now >= run.placed + least
+        };
+        let runs = worker.runs.iter().filter(|(task, run)| due(**task, run));
+        let tasks: Vec<(TaskId, u32)> = runs.map(|(task, run)| (*task, run.number)).collect();
+        for (task, number) in tasks {
+            self.stragglers.record(task, number);
+            self.supersede_run(key, task);
         }
     }
 
--- a/crates/jobs/tests/stragglers.rs
+++ b/crates/jobs/tests/stragglers.rs
@@ -325,3 +325,17 @@
     assert_eq!(world.stops, [], "{:?}", world.starts);
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// Each outage of a worker gave its task another copy, however many the task had.
+#[test]
+fn a_task_whose_workers_fall_silent_again_and_again_gets_few_copies() {
+    let mut world = World::new(30);
+    world.submit(job(1, vec![Step { speculative: true, ..step(1, cores(1), 12_000) }]));
+    for _ in 0..1_400 {
+        let silent = world.now > 1_000 && world.now % 1_000 < 200;
+        world.workers.values_mut().for_each(|worker| worker.partitioned = silent);
+        world.round();
+    }
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(starts(&world, task(1, 0, 0)) <= 5, "{} starts", starts(&world, task(1, 0, 0)));
+}
