--- a/crates/jobs/tests/stragglers.rs
+++ b/crates/jobs/tests/stragglers.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::ids::{JobId, TaskId};
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
+use rstest::rstest;
 use support::{World, cores, job, step, task};
 
 fn speculative_step(count: u32) -> Step {
@@ -161,3 +162,180 @@
     assert_eq!((slow, world.stops.len()), (2, 2));
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// Number of starts of a task.
+fn starts(world: &World, id: TaskId) -> usize {
+    world.starts.iter().filter(|(_, task, _, _)| *task == id).count()
+}
+
+/// A task that is slow on every worker was stopped about each second without end.
+#[rstest]
+#[case::alone(1)]
+#[case::beside_short_tasks(4)]
+fn a_task_that_is_slow_on_every_worker_is_done(#[case] count: u32) {
+    let mut world = World::new(4);
+    world.stop_ms = 500;
+    world.task_durations.insert(task(1, 0, 0), 24_000);
+    world.submit(job(1, vec![step(count, cores(8), 800), Step { after: vec![0], ..step(1, cores(1), 300) }]));
+    world.run_for(48_000);
+    assert_eq!(world.state(1), Some(JobState::Completed), "{} starts", starts(&world, task(1, 0, 0)));
+    assert!(world.stops.len() <= 4, "{:?}", world.stops);
+}
+
+/// The same for a task that makes no progress for some time wherever it runs.
+#[test]
+fn a_task_that_stands_still_on_every_worker_for_some_time_is_done() {
+    let mut world = World::new(4);
+    world.task_durations.insert(task(1, 0, 0), 3_000);
+    world.submit(job(1, vec![step(1, cores(1), 3_000)]));
+    for _ in 0..6_000 {
+        if let Some((at, _, _, on)) = world.starts.last().cloned() {
+            let paused = (1_500..11_500).contains(&(world.now - at));
+            world.workers.get_mut(&on).expect("it is up").stuck = paused;
+        }
+        world.round();
+    }
+    assert_eq!(world.state(1), Some(JobState::Completed), "{} starts", starts(&world, task(1, 0, 0)));
+    assert!(world.stops.len() <= 4, "{:?}", world.stops);
+}
+
+/// A task that was slow on every worker got another copy about each second.
+#[test]
+fn a_task_that_is_slow_on_every_worker_gets_few_copies() {
+    let mut world = World::new(40);
+    world.durations.insert(JobId(1), 24_000);
+    world.submit(job(1, vec![speculative_step(1)]));
+    world.run_for(26_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(starts(&world, task(1, 0, 0)) <= 5, "{} starts", starts(&world, task(1, 0, 0)));
+}
+
+/// The same for a gang, of which each slow run ends those of all members.
+#[test]
+fn a_gang_that_stands_still_on_every_worker_for_some_time_is_done() {
+    let mut world = World::new(8);
+    world.submit(job(1, vec![Step { gang: true, spread: Some(1), ..step(8, cores(1), 3_000) }]));
+    for _ in 0..6_000 {
+        let begun = world.starts.last().map_or(0, |(at, ..)| *at);
+        let paused = (1_500..11_500).contains(&(world.now - begun));
+        world.workers.values_mut().for_each(|worker| worker.stuck = paused);
+        world.round();
+    }
+    let last = world.starts.last().map_or(0, |(_, _, run, _)| *run);
+    assert_eq!(world.state(1), Some(JobState::Completed), "run {last}");
+    assert!(last <= 5, "run {last}");
+}
+
+/// The workers of a task that is slow everywhere were kept from other tasks one after the other.
+#[test]
+fn the_second_slow_run_of_a_task_excludes_no_worker() {
+    let mut world = World::new(1);
+    world.durations.insert(JobId(1), 24_000);
+    world.submit(job(1, vec![step(1, cores(1), 800)]));
+    while world.stops.len() < 2 && world.now < 20_000 {
+        world.round();
+    }
+    world.submit(job(2, vec![step(1, cores(1), 300)]));
+    world.run_for(500);
+    assert_eq!((world.stops.len(), starts(&world, task(2, 0, 0))), (2, 1));
+}
+
+#[test]
+fn slow_runs_are_forgotten_with_their_task_and_their_job() {
+    let mut world = World::new(4);
+    let counted = |world: &World| format!("{:?}", world.dispatcher).matches("SlowRuns {").count();
+    for id in [1, 2] {
+        world.durations.insert(JobId(id), 60_000);
+        world.submit(job(id, vec![step(2, cores(1), 800)]));
+    }
+    world.task_durations.insert(task(1, 0, 0), 10_000);
+    while world.stops.len() < 4 && world.now < 20_000 {
+        world.round();
+    }
+    assert_eq!(counted(&world), 4);
+    while !world.finished.contains(&task(1, 0, 0)) && world.now < 60_000 {
+        world.round();
+    }
+    world.run_for(500);
+    assert_eq!(counted(&world), 3);
+    world.cancel(1);
+    assert_eq!(counted(&world), 2);
+    world.cancel(2);
+    assert_eq!(counted(&world), 0);
+}
+
+/// A new owner took the time since its takeover for that of a run that was nearly done, and stopped the other tasks of the step.
+#[test]
+fn a_run_that_was_taken_over_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 12_000) }]));
+    world.run_for(10_000);
+    let machine = world.workers[&world.starts[1].3].machine.clone();
+    world.crash(&machine);
+    while world.starts.len() < 3 && world.now < 20_000 {
+        world.round();
+    }
+    world.run_for(200);
+    world.take_over();
+    world.run_for(14_000);
+    assert_eq!(world.stops, []);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// A run whose start got no answer was listed just before its end, so its task seemed to take a fraction of its time, and the
+/// other tasks of the step were stopped.
+#[test]
+fn a_run_that_was_listed_late_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.submit(job(9, vec![step(1, cores(1), 60_000)]));
+    world.run_for(1_000);
+    let silent = world.starts[0].3.clone();
+    world.workers.get_mut(&silent).expect("it is up").drops_answers = true;
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 5_000) }]));
+    while world.starts.len() < 2 {
+        world.round();
+    }
+    assert_eq!(world.starts[1].3, silent);
+    world.workers.get_mut(&silent).expect("it is up").partitioned = true;
+    world.run_for(3_400);
+    let machine = world.workers[&world.starts[2].3].machine.clone();
+    world.crash(&machine);
+    world.run_for(1_100);
+    let worker = world.workers.get_mut(&silent).expect("it is up");
+    (worker.partitioned, worker.drops_answers) = (false, false);
+    world.run_for(10_000);
+    assert_eq!(world.stops, [], "{:?}", world.starts);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// A run that resumed from a checkpoint and was soon done made the other tasks of its step look slow.
+#[test]
+fn a_run_that_resumed_from_a_checkpoint_makes_no_other_slow() {
+    let mut world = World::new(3);
+    world.checkpoint = "saved".into();
+    world.task_durations.insert(task(1, 0, 1), 24_000);
+    world.submit(job(1, vec![Step { spread: Some(1), ..step(2, cores(1), 8_000) }]));
+    world.run_for(7_500);
+    let (_, first, _, on) = world.starts[0].clone();
+    assert_eq!(first, task(1, 0, 0));
+    world.task_durations.insert(first, 600);
+    let machine = world.workers[&on].machine.clone();
+    world.crash(&machine);
+    world.run_for(20_000);
+    assert_eq!(world.stops, [], "{:?}", world.starts);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// Each outage of a worker gave its task another copy, however many the task had.
+#[test]
+fn a_task_whose_workers_fall_silent_again_and_again_gets_few_copies() {
+    let mut world = World::new(30);
+    world.submit(job(1, vec![Step { speculative: true, ..step(1, cores(1), 12_000) }]));
+    for _ in 0..1_400 {
+        let silent = world.now > 1_000 && world.now % 1_000 < 200;
+        world.workers.values_mut().for_each(|worker| worker.partitioned = silent);
+        world.round();
+    }
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(starts(&world, task(1, 0, 0)) <= 5, "{} starts", starts(&world, task(1, 0, 0)));
+}
