Give each process of a worker a fencing token of its own

Callers would see a task at work on two workers at once.

Cause: a worker's fencing token, its refusal of stopped runs and the deadlines of orders are kept by one process. One that starts again under its id accepted orders to the former process: a poll under way extended its lease by a deadline on the former clock, up to the longest lease of 10 s, while the owner waited for its own 6 s; and the start of a run that was given up ran beside the next run of the task.

Change: the owner raises the token when a worker appears or an answer shows a new process, and uses the process once it has answered a poll with that token; it refuses earlier orders from then on. The tokens of an owner lie between its epoch and the next, so epochs grow by 1,000,000. The longest lease counts from that answer. A refusal of an earlier token is no sign of a newer owner.

takeover::a_start_goes_out_only_after_its_own_placement_is_stored gives the restarted worker a second answer, since the first one no longer makes it usable; its assertions are unchanged.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::catalog::{Catalog, Queue, Team};
 use crate::ids::{JobId, TaskId};
-use crate::record::{self, Entry};
+use crate::record::{self, Entry, next_epoch};
 use crate::spec::Resources;
 use crate::table::{Phase, Table};
 use command::Command;
@@ -102,6 +102,8 @@
 pub struct Dispatcher {
     options: Options,
     epoch: u64,
+    /// Fencing token of the worker process that was seen last.
+    newest_token: u64,
     /// Jobs with their progress.
     pub table: Table,
     catalog: Arc<Catalog>,
@@ -195,6 +197,7 @@
         let mut dispatcher = Self {
             options,
             epoch,
+            newest_token: epoch,
             table,
             index: Arc::new(CatalogIndex::new(&catalog)),
             pools: Names::default(),
@@ -254,12 +257,24 @@
         self
     }
 
-    /// Epoch of this owner, the fencing token of its orders.
+    /// Epoch of this owner, the lowest fencing token of its orders.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
         self.epoch
     }
 
+    /// Fencing token for a process of a worker that was not seen before, or not for some time. Ownership is given up once
+    /// none is left below the next epoch.
+    fn raise_token(&mut self) -> u64 {
+        if self.newest_token + 1 < next_epoch(self.epoch) {
+            self.newest_token += 1;
+        } else {
+            log::warn!(epoch = self.epoch; "all fencing tokens of this epoch are used up");
+            self.fenced_out = true;
+        }
+        self.newest_token
+    }
+
     /// True once a worker or the store has reported a newer owner.
     #[must_use]
     pub const fn fenced_out(&self) -> bool {
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -60,7 +60,7 @@
         run.next_order = None;
         let start = Start {
             target,
-            token: self.epoch,
+            token: worker.token,
             task,
             run: run.number,
             payload,
@@ -83,9 +83,11 @@
     }
 
     /// Handles the outcome of a start.
-    pub fn started(&mut self, now: u64, id: &str, task: TaskId, number: u32, outcome: Outcome) {
+    pub fn started(&mut self, now: u64, start: &Start, outcome: Outcome) {
+        let (id, task, number) = (start.target.worker.as_str(), start.task, start.run);
         let Some(key) = self.worker_key(id) else { return };
         let Some(worker) = self.workers.get_mut(key) else { return };
+        let outdated = start.token < worker.token;
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
         let repeated = run.unanswered > 0;
         if outcome != Outcome::Unknown {
@@ -104,6 +106,8 @@
             Outcome::Outdated => {
                 run.confirmed.get_or_insert(now);
             }
+            // The present process refuses orders to a former one; its list of runs tells what that one had begun.
+            Outcome::Fenced if outdated => {}
             Outcome::Fenced => self.fenced_out = true,
             Outcome::Replaced => self.mark_runs_lost(key, "another worker has the address"),
             Outcome::Unknown => {
@@ -157,7 +161,7 @@
     /// Stops a run. If its start was never sent, it is removed at once.
     pub(super) fn stop_run(&mut self, now: u64, key: WorkerKey, task: TaskId) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let target = target(worker);
+        let (target, token) = (target(worker), worker.token);
         let Some(run) = worker.runs.get_mut(&task) else { return };
         if !run.sent {
             self.requeue(key, task, "the start is no longer wanted");
@@ -166,16 +170,18 @@
         run.stopping = true;
         run.next_order = None;
         run.last_change = now;
-        let stop = Stop { target, token: self.epoch, task, run: run.number };
+        let stop = Stop { target, token, task, run: run.number };
         self.counters.stops += 1;
         self.commands.push(Command::Stop(stop));
     }
 
     /// Handles the outcome of a stop.
-    pub fn stopped(&mut self, now: u64, id: &str, task: TaskId, number: u32, outcome: Outcome) {
-        let Some(key) = self.worker_key(id) else { return };
+    pub fn stopped(&mut self, now: u64, stop: &Stop, outcome: Outcome) {
+        let (task, number) = (stop.task, stop.run);
+        let Some(key) = self.worker_key(&stop.target.worker) else { return };
+        let outdated = self.workers.get(key).is_some_and(|worker| stop.token < worker.token);
         match outcome {
-            Outcome::Fenced => {
+            Outcome::Fenced if !outdated => {
                 self.fenced_out = true;
                 return;
             }
@@ -187,7 +193,7 @@
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
-        if outcome == Outcome::Taken {
+        if outcome == Outcome::Taken && !outdated {
             run.confirmed.get_or_insert(now);
         } else {
             run.next_order = Some(now + REPEAT_MS);
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -40,7 +40,8 @@
             let id = record.worker.clone();
             let pool = self.pools.intern(&record.pool);
             let served = self.catalog.pool(&record.pool).is_some();
-            let key = self.workers.insert(Worker { served, ..Worker::new(record, pool, now) });
+            let token = self.raise_token();
+            let key = self.workers.insert(Worker { served, ..Worker::new(record, pool, token, now) });
             self.keys_by_id.insert(id, key);
             self.unchanged = false;
             return;
@@ -76,19 +77,24 @@
     }
 
     /// Resets a worker that restarted. Runs that the former process listed have ended with it. Any other start may have
-    /// reached either process, so its run stays until the present one shows whether it has it. A start that may still be
-    /// carried out is stopped there first.
+    /// reached either process, so its run stays until the present one shows whether it has it.
+    ///
+    /// The new process has seen no token, knows of no stop, and its clock begins anew, so orders to the former one could
+    /// still take effect. It gets a token of its own, and counts as fenced once it has answered a poll with it.
     fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64) {
+        let token = self.raise_token();
         let Some(worker) = self.workers.get_mut(key) else { return };
         let oldest = worker.runs.values().map(|run| now.saturating_sub(run.placed)).max();
         log::info!(
             worker = worker.record.worker.as_str(), started_ms = started_ms, before_ms = worker.process_start,
-            listed_ms = worker.record.started_ms, runs = worker.runs.len(), oldest_run_ms = oldest.unwrap_or(0);
+            listed_ms = worker.record.started_ms, runs = worker.runs.len(), oldest_run_ms = oldest.unwrap_or(0),
+            token = token;
             "the worker restarted"
         );
         worker.known_since = now;
         worker.process_start = started_ms;
         worker.contact = None;
+        worker.token = token;
         worker.fenced = false;
         worker.missed_polls = 0;
         worker.poll_soon(now);
@@ -100,23 +106,17 @@
         worker.failure_permille = 0;
         worker.excluded_until = 0;
         let ended = |run: &Run| !run.sent || run.listed && !run.may_start();
-        let mut unclear = false;
         for (task, run) in worker.runs.iter_mut().filter(|(_, run)| !ended(run)) {
-            unclear = true;
-            // Once no order is under way, one list of the present process tells.
+            // Once the present process is fenced, one list of it tells.
             run.unlisted_polls = LOST_AFTER_POLLS;
             run.listed = false;
-            if run.may_start() || run.stopping {
-                run.stopping = true;
-                run.confirmed = None;
+            run.confirmed = Some(now);
+            if run.stopping {
                 run.next_order = Some(now);
                 self.unsettled.insert((key, *task));
             }
         }
-        if unclear {
-            // The deadlines of these starts were meant for the clock of the former process.
-            worker.grant(now, self.options.start_ttl_ms + self.options.max_lease_ms);
-        }
+        worker.grant(now, self.options.max_lease_ms);
         self.mark_some_lost(key, "the worker restarted", ended);
         self.unchanged = false;
     }
@@ -144,14 +144,14 @@
             if deadline_ms.is_some() {
                 worker.grant(now, self.options.lease_ms);
             }
-            worker.poll_state = PollState::Waiting(at);
+            worker.poll_state = PollState::Waiting(at, worker.token);
             worker.poll_held = held;
             // A new process of the worker would take the number for one of its own ends.
             worker.ack_sent = if clock.is_some() && ack_due { worker.acknowledged } else { 0 };
             self.counters.polls += 1;
             self.commands.push(Command::Poll(Poll {
                 target: target(worker),
-                token: self.epoch,
+                token: worker.token,
                 deadline_ms,
                 acknowledged: worker.ack_sent,
                 wait_ms: if held { self.options.poll_wait_ms } else { 0 },
@@ -162,18 +162,15 @@
     /// Handles the answer to a poll.
     pub fn polled(&mut self, now: u64, id: &str, answer: Result<WorkerStatus, Outcome>) {
         let Some(key) = self.worker_key(id) else { return };
-        let at = self.moment(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let sent = match worker.poll_state {
-            PollState::Waiting(sent) => sent,
-            PollState::Idle(_) => at,
-        };
+        // An answer to a poll that is no longer known tells nothing about the present process.
+        let PollState::Waiting(sent, token) = worker.poll_state else { return };
         worker.poll_state = PollState::Idle(now + POLL_RETRY_MS);
         let held = std::mem::take(&mut worker.poll_held);
         let wait_ms = if held { self.options.poll_wait_ms } else { 0 };
         match answer {
             Ok(status) => self.apply_status(now, sent, wait_ms, key, status),
-            Err(Outcome::Fenced) => self.fenced_out = true,
+            Err(Outcome::Fenced) if token == worker.token => self.fenced_out = true,
             Err(Outcome::Replaced) => {
                 self.mark_runs_lost(key, "another worker has the address");
                 if let Some(worker) = self.workers.get_mut(key) {
@@ -205,7 +202,7 @@
             return;
         }
         if status.started_ms > known && known != 0 {
-            self.reset_worker(now, key, status.started_ms);
+            return self.reset_worker(now, key, status.started_ms);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let estimate = worker.clock_at(at, self.options.poll_wait_ms);
@@ -231,6 +228,8 @@
         worker.missed_polls = 0;
         if !worker.fenced {
             worker.fenced = true;
+            // Until now orders of a former owner or to a former process could extend its leases.
+            worker.grant(now, self.options.max_lease_ms);
             self.unchanged = false;
         }
         let unread = self.unread_jobs(now, key, &status);
@@ -388,8 +387,8 @@
             None => self.exclude_worker(now, key),
         }
         if !resumed {
-            let stop = Stop { target: target.clone(), token: self.epoch, task, run: number };
-            self.commands.push(Command::Stop(stop));
+            let token = self.workers.get(key).map_or(self.epoch, |worker| worker.token);
+            self.commands.push(Command::Stop(Stop { target: target.clone(), token, task, run: number }));
         }
     }
 
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -79,7 +79,7 @@
             started_ms: place.started_ms,
         };
         let pool = self.pools.intern(&record.pool);
-        let mut worker = Worker::new(record, pool, now);
+        let mut worker = Worker::new(record, pool, self.raise_token(), now);
         worker.listed = false;
         let key = self.workers.insert(worker);
         self.keys_by_id.insert(place.worker.clone(), key);
--- a/crates/jobs/src/dispatch/systems/throttling.rs
+++ b/crates/jobs/src/dispatch/systems/throttling.rs
@@ -28,7 +28,7 @@
                 worst = worst.max(listed.metric * 100 / target);
             }
         }
-        let target = target(worker);
+        let (target, token) = (target(worker), worker.token);
         let mut orders = Vec::new();
         for (task, run) in &mut worker.runs {
             if !run.best_effort
@@ -44,13 +44,7 @@
             }
             run.last_change = now;
             run.speed_percent = percent;
-            orders.push(Throttle {
-                target: target.clone(),
-                token: self.epoch,
-                task: *task,
-                run: run.number,
-                percent,
-            });
+            orders.push(Throttle { target: target.clone(), token, task: *task, run: run.number, percent });
         }
         self.commands.extend(orders.into_iter().map(Command::Throttle));
     }
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -175,8 +175,8 @@
 pub enum PollState {
     /// The next poll may be sent at this time.
     Idle(u64),
-    /// The poll sent at this time has no answer yet.
-    Waiting(Moment),
+    /// The poll sent at this time with this fencing token has no answer yet.
+    Waiting(Moment, u64),
 }
 
 /// Worker with its runs.
@@ -196,7 +196,10 @@
     pub listed: bool,
     /// True while the configuration names its pool.
     pub served: bool,
-    /// True once it answered under the present epoch; it refuses orders of former owners from then on.
+    /// Fencing token of the orders to its present process.
+    pub token: u64,
+    /// True once it answered a poll with this token; it refuses orders of former owners and orders to its former processes
+    /// from then on.
     pub fenced: bool,
     /// When it is polled next, or since when an answer is missing.
     pub poll_state: PollState,
@@ -233,7 +236,7 @@
 impl Worker {
     /// Creates a worker without runs.
     #[must_use]
-    pub fn new(record: WorkerRecord, pool: PoolKey, now: u64) -> Self {
+    pub fn new(record: WorkerRecord, pool: PoolKey, token: u64, now: u64) -> Self {
         Self {
             process_start: record.started_ms,
             record,
@@ -241,6 +244,7 @@
             known_since: now,
             listed: true,
             served: false,
+            token,
             fenced: false,
             poll_state: PollState::Idle(now),
             missed_polls: 0,
@@ -305,7 +309,7 @@
         self.lease_end = self.lease_end.max(end);
     }
 
-    /// True if it answered the last poll, under the present epoch.
+    /// True if it answered the last poll, with its present token.
     #[must_use]
     pub const fn responds(&self) -> bool {
         self.fenced && self.missed_polls == 0
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -65,7 +65,7 @@
         if known != *former {
             return Ok(Claim::Lost);
         }
-        let owner = Owner { epoch: known.epoch + 1, name: self.options.name.clone() };
+        let owner = Owner { epoch: record::next_epoch(known.epoch), name: self.options.name.clone() };
         if known.name == owner.name {
             // An earlier claim of this process was stored but its answer was lost. Only this process has written
             // since then, so it is safe to claim again under the next epoch.
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -216,13 +216,13 @@
                 let stale = self.state.borrow().intake.age(Instant::now()) > MAX_INTAKE_AGE;
                 let outcome = if stale { Outcome::Deferred } else { workers.start(&start).await };
                 self.notify_dispatcher(epoch, |d, now| {
-                    d.started(now, &start.target.worker, start.task, start.run, outcome);
+                    d.started(now, &start, outcome);
                 });
             }
             Command::Stop(stop) => {
                 let outcome = workers.stop(&stop).await;
                 self.notify_dispatcher(epoch, |d, now| {
-                    d.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
+                    d.stopped(now, &stop, outcome);
                 });
             }
             Command::Throttle(throttle) => {
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -23,6 +23,9 @@
 /// Key prefix of maintenance waves in `Progress`.
 const WAVE_KEY: &str = "wave/";
 
+/// Difference between the epochs of two successive owners. The numbers between are fencing tokens of the earlier one.
+pub const EPOCH_STEP: u64 = 1_000_000;
+
 /// Key in `Summaries` of the offset before which the summaries cover all records of the intake.
 const INTAKE_OFFSET_KEY: &str = "taken";
 
@@ -82,12 +85,18 @@
 /// Owner: the instance that schedules the jobs.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Owner {
-    /// Epoch, which increases with each claim; also the fencing token of all orders.
+    /// Epoch, which increases with each claim. Fencing tokens of its orders lie between it and the next epoch.
     pub epoch: u64,
     /// Name of the process: the instance, then `-` and the start of the process. Empty before the first claim.
     pub name: String,
 }
 
+/// Epoch of the owner that follows the one with an epoch.
+#[must_use]
+pub const fn next_epoch(epoch: u64) -> u64 {
+    (epoch / EPOCH_STEP + 1) * EPOCH_STEP
+}
+
 impl Owner {
     /// Instance that the process belongs to, under which it sends orders about machines.
     #[must_use]
--- a/crates/jobs/tests/model/mod.rs
+++ b/crates/jobs/tests/model/mod.rs
@@ -18,7 +18,7 @@
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::dispatch::{Dispatcher, Write};
 use rattanfall_jobs::ids::{JobId, TaskId};
-use rattanfall_jobs::record::Intake;
+use rattanfall_jobs::record::{EPOCH_STEP, Intake};
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 use rattanfall_jobs::table::JobState;
 
@@ -367,7 +367,7 @@
 
     fn send(&mut self, call: Call) {
         let poll = matches!(call.command, Command::Poll(_));
-        let cut = self.network == Network::FirstWorkerPartitioned && call.epoch > 1;
+        let cut = self.network == Network::FirstWorkerPartitioned && call.epoch > EPOCH_STEP;
         if cut && target(&call.command) == Some(self.workers[0].name.as_str()) {
             return self.fail_order(call.epoch, &call.command, Outcome::Unknown);
         }
@@ -400,7 +400,7 @@
     /// The next instance claims ownership and starts from the stored records.
     fn claim(&mut self) {
         self.budget.claims -= 1;
-        self.store.epoch += 1;
+        self.store.epoch += EPOCH_STEP;
         if self.owners_end {
             self.owners.clear();
         }
@@ -524,10 +524,10 @@
                 dispatcher.polled(now, &poll.target.worker, answer)
             }
             (Command::Start(start), Answer::Order(outcome)) => {
-                dispatcher.started(now, &start.target.worker, start.task, start.run, outcome);
+                dispatcher.started(now, start, outcome);
             }
             (Command::Stop(stop), Answer::Order(outcome)) => {
-                dispatcher.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
+                dispatcher.stopped(now, stop, outcome);
             }
             _ => {}
         }
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -11,7 +11,7 @@
 use rattanfall_jobs::node::options::Options;
 use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::ports::Topic;
-use rattanfall_jobs::record::{self, Entry};
+use rattanfall_jobs::record::{self, EPOCH_STEP, Entry};
 use rattanfall_jobs::spec::Submission;
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
@@ -274,7 +274,7 @@
             claims.map(|entry| &entry.value).collect::<BTreeSet<_>>().len() as u64
         });
         // Each claim must have its own epoch; an owner may write its record again.
-        usize::from(epoch > 0) + usize::from(claims != epoch)
+        usize::from(epoch > 0) + usize::from(claims != epoch / EPOCH_STEP)
     }
 
     /// Kills a node without a shutdown.
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use rattanfall_jobs::dispatch::command::Command;
 use rattanfall_jobs::dispatch::event::WorkerRecord;
 use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
@@ -216,3 +217,87 @@
     run_checked(&mut world, 3_000);
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// Time for which a worker has been up when it restarts, in milliseconds. Deadlines on its clock lie this far ahead of the
+/// clock of the next process.
+const UPTIME_MS: u64 = 60_000;
+
+/// Two workers, of which only the one with this id is reachable.
+fn single_reachable() -> (World, String, String) {
+    let mut world = World::new(2);
+    world.run_for(UPTIME_MS);
+    let (worker, other) = (world.worker_on("red-00"), world.worker_on("red-01"));
+    set_partitioned(&mut world, &other, true);
+    (world, worker, other)
+}
+
+fn set_partitioned(world: &mut World, id: &str, partitioned: bool) {
+    world.workers.get_mut(id).expect("it is up").partitioned = partitioned;
+}
+
+/// Runs the simulation until the workers have begun a number of runs.
+fn run_until_started(world: &mut World, count: usize) {
+    while world.starts.len() < count {
+        run_checked(world, support::ROUND_MS);
+    }
+}
+
+/// Guards against a second run of a task whose worker was cut off after a restart: a poll under way had extended the lease
+/// of the new process by a deadline on the clock of the former one.
+#[test]
+fn a_lease_granted_to_the_former_process_is_waited_for_on_the_new_one() {
+    let (mut world, worker, other) = single_reachable();
+    world.submit(job(1, vec![step(1, cores(1), 30_000)]));
+    run_checked(&mut world, 1_000);
+    let record = world.kill_worker(&worker);
+    world.restart_worker(record);
+    run_until_started(&mut world, 2);
+    run_checked(&mut world, 300);
+    set_partitioned(&mut world, &worker, true);
+    set_partitioned(&mut world, &other, false);
+    run_checked(&mut world, 15_000);
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+}
+
+/// The same with a poll without an answer that the new process carries out later.
+#[test]
+fn a_late_poll_for_the_former_process_extends_no_lease_of_the_new_one() {
+    let (mut world, worker, other) = single_reachable();
+    world.orders_outlast = true;
+    world.submit(job(1, vec![step(1, cores(1), 30_000)]));
+    run_checked(&mut world, 1_000);
+    world.delay = Some(4_000);
+    run_checked(&mut world, 200);
+    world.delay = None;
+    let record = world.kill_worker(&worker);
+    world.restart_worker(record);
+    run_until_started(&mut world, 2);
+    run_checked(&mut world, 4_000);
+    set_partitioned(&mut world, &worker, true);
+    set_partitioned(&mut world, &other, false);
+    run_checked(&mut world, 15_000);
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+}
+
+/// Guards against a start without an answer that the next process carries out after the task was placed elsewhere.
+#[test]
+fn a_late_start_for_the_former_process_is_refused_by_the_new_one() {
+    let (mut world, worker, other) = single_reachable();
+    world.orders_outlast = true;
+    world.submit(job(1, vec![step(1, cores(1), 200)]));
+    run_checked(&mut world, 500);
+    world.submit(job(2, vec![step(1, cores(1), 30_000)]));
+    world.delay = Some(14_000);
+    run_checked(&mut world, 50);
+    world.delay = None;
+    let is_start = |(_, order): &(u64, Command)| matches!(order, Command::Start(_));
+    assert!(world.delayed_orders.iter().any(is_start), "no start was sent");
+    let record = world.kill_worker(&worker);
+    set_partitioned(&mut world, &other, false);
+    run_until_started(&mut world, 2);
+    assert_eq!(world.starts[1].3, other);
+    world.restart_worker(record);
+    run_checked(&mut world, 40_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use rattanfall_jobs::dispatch::{Dispatcher, Write};
 use rattanfall_jobs::ids::{JobId, StepId, TaskId};
 use rattanfall_jobs::ports::MachineOutcome;
-use rattanfall_jobs::record::{Entry, Intake, Owner, read_change};
+use rattanfall_jobs::record::{Entry, Intake, Owner, next_epoch, read_change};
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 use rattanfall_jobs::table::{JobState, Table};
 
@@ -137,6 +137,8 @@
     pub(crate) delayed_orders: Vec<(u64, Command)>,
     /// True while delayed orders are carried out.
     delayed: bool,
+    /// True if delayed orders outlast the process that they were sent to, and a loss of its connections.
+    pub(crate) orders_outlast: bool,
     /// Delay of new orders; none if they are carried out at once.
     pub(crate) delay: Option<u64>,
     /// Starts that the owner's process can send in a round; none if there is no limit.
@@ -298,6 +300,7 @@
             stop_ms: 0,
             delayed_orders: Vec::new(),
             delayed: false,
+            orders_outlast: false,
             delay: None,
             send_limit: None,
             intake_paused: false,
@@ -391,11 +394,13 @@
         self.workers.insert(id, worker);
     }
 
-    /// Ends the process of a worker, with the orders that it has not carried out yet. Its record stays in the directory
-    /// for some seconds. Returns the record.
+    /// Ends the process of a worker, with the orders that it has not carried out yet unless they outlast it. Its record
+    /// stays in the directory for some seconds. Returns the record.
     pub(crate) fn kill_worker(&mut self, id: &str) -> WorkerRecord {
         let worker = self.workers.remove(id).expect("the worker is up");
-        self.delayed_orders.retain(|(_, order)| order_target(order) != Some(id));
+        if !self.orders_outlast {
+            self.delayed_orders.retain(|(_, order)| order_target(order) != Some(id));
+        }
         if let Some((machine, _)) = self.machines.get_mut(&worker.machine) {
             machine.state = MachineState::Down;
             machine.worker = None;
@@ -526,7 +531,8 @@
     fn postpone(&mut self, command: &Command) -> bool {
         let Some(delay) = self.delay else { return false };
         // No order reaches a worker that is down.
-        if order_target(command).is_some_and(|id| self.workers.contains_key(id)) {
+        let worker = order_target(command).and_then(|id| self.workers.get(id));
+        if worker.is_some_and(|worker| !self.orders_outlast || !worker.partitioned) {
             self.delayed_orders.push((self.now + delay, command.clone()));
         }
         true
@@ -586,7 +592,7 @@
             table.apply_progress(read_change(entry).expect("own records decode"));
         }
         self.unsent.clear();
-        self.epoch += 1;
+        self.epoch = next_epoch(self.epoch);
         table.owner = Owner { epoch: self.epoch, name: format!("{instance}-{}", self.epoch) };
         let catalog = Arc::clone(&self.catalog);
         let options = self.options.clone();
@@ -681,12 +687,10 @@
         let now = self.now;
         match &command {
             Command::Start(start) if self.postpone(&command) => {
-                let worker = &start.target.worker;
-                return self.dispatcher.started(now, worker, start.task, start.run, Outcome::Unknown);
+                return self.dispatcher.started(now, start, Outcome::Unknown);
             }
             Command::Stop(stop) if self.postpone(&command) => {
-                let worker = &stop.target.worker;
-                return self.dispatcher.stopped(now, worker, stop.task, stop.run, Outcome::Unknown);
+                return self.dispatcher.stopped(now, stop, Outcome::Unknown);
             }
             Command::Poll(poll) if self.postpone(&command) => {
                 return self.dispatcher.polled(now, &poll.target.worker, Err(Outcome::Unknown));
@@ -702,11 +706,11 @@
             Command::Start(start) => {
                 let deferred = self.deferred.contains(&start.task.job);
                 let outcome = if deferred { Outcome::Deferred } else { self.start(&start) };
-                self.dispatcher.started(now, &start.target.worker, start.task, start.run, outcome);
+                self.dispatcher.started(now, &start, outcome);
             }
             Command::Stop(stop) => {
                 let outcome = self.stop(&stop);
-                self.dispatcher.stopped(now, &stop.target.worker, stop.task, stop.run, outcome);
+                self.dispatcher.stopped(now, &stop, outcome);
             }
             Command::Throttle(speed) => self.throttles.push((now, speed)),
             Command::AskPolicy(request) => self.ask_policy(request),
@@ -771,7 +775,9 @@
     fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
         let now = self.now;
         let metrics = &self.metrics;
-        let Some(worker) = self.workers.get_mut(&poll.target.worker).filter(|w| !w.partitioned) else {
+        let received = self.delayed && self.orders_outlast;
+        let worker = self.workers.get_mut(&poll.target.worker);
+        let Some(worker) = worker.filter(|worker| received || !worker.partitioned) else {
             return Err(Outcome::Unknown);
         };
         if poll.token < worker.token {
@@ -818,7 +824,9 @@
             if self.failing_jobs.contains(&start.task.job) { EndReason::Failed } else { EndReason::Done };
         let need = self.need(start.task);
         let label = self.step_of(start.task).label.clone();
-        let Some(worker) = self.workers.get_mut(&start.target.worker).filter(|w| !w.partitioned) else {
+        let received = self.delayed && self.orders_outlast;
+        let worker = self.workers.get_mut(&start.target.worker);
+        let Some(worker) = worker.filter(|worker| received || !worker.partitioned) else {
             return Outcome::Unknown;
         };
         if start.token < worker.token {
@@ -869,7 +877,9 @@
 
     fn stop(&mut self, stop: &Stop) -> Outcome {
         self.stops.push((self.now, stop.task, stop.target.worker.clone()));
-        let Some(worker) = self.workers.get_mut(&stop.target.worker).filter(|w| !w.partitioned) else {
+        let received = self.delayed && self.orders_outlast;
+        let worker = self.workers.get_mut(&stop.target.worker);
+        let Some(worker) = worker.filter(|worker| received || !worker.partitioned) else {
             return Outcome::Unknown;
         };
         if stop.token < worker.token {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -288,7 +288,7 @@
                 Command::Start(start) => {
                     let outcome = if reached { Outcome::Taken } else { Outcome::Unsent };
                     starts += u32::from(reached);
-                    d.started(now, &start.target.worker, start.task, start.run, outcome);
+                    d.started(now, &start, outcome);
                 }
                 _ => {}
             }
@@ -314,6 +314,10 @@
     d.tick(now + 7);
     drop(d.take_commands());
     let seen = WorkerStatus { clock_ms: 1_010 + now, started_ms, running: Vec::new(), ended: Vec::new() };
+    // The first answer shows the new process, the second one that it refuses orders to the former one.
+    d.polled(now + 8, &worker, Ok(seen.clone()));
+    d.tick(now + 8);
+    drop(d.take_commands());
     d.polled(now + 8, &worker, Ok(seen));
     d.tick(now + 9);
     drop(d.take_commands());
