Ignore the refusal of a repeated start whose run the worker has listed

Callers would see a task at work on two workers at once.

Cause: a start without an answer is repeated. If the worker lists the run while the repeat is under way, the count of unanswered starts is cleared, so a refusal of the repeat (a failing worker refuses whatever reaches it) looked like the refusal of a first start: the run was removed and its task placed elsewhere while it went on.

Change: a refusal ends no run that the worker's present process has listed.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -148,7 +148,12 @@
                 }
                 worker.excluded_until = worker.excluded_until.max(now + REFUSAL_BACKOFF_MS);
                 log::warn!(task:% = task, run = number, worker = id, outcome:? = outcome; "the worker refused the start");
+                let listed = run.listed;
                 self.remove_ticket(id, task);
+                if listed {
+                    // The run had begun before this repeat of its start was refused.
+                    return;
+                }
                 if repeated {
                     self.stop_run(now, key, task);
                 } else {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 
 use rattanfall_jobs::dispatch::Dispatcher;
-use rattanfall_jobs::dispatch::command::Command;
+use rattanfall_jobs::dispatch::command::{Command, Start, Target};
 use rattanfall_jobs::dispatch::event::{Outcome, WorkerRecord, WorkerStatus};
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::record::Intake;
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
+use rstest::rstest;
 use support::{UNIX, World, cores, job, step};
 
 #[test]
@@ -135,6 +136,41 @@
     assert!(world.dispatcher.fenced_out());
 }
 
+/// Guards against a second run beside one whose first start had no answer: a repeat of it, under way when the worker listed
+/// the run, was refused.
+#[rstest]
+fn a_refused_repeat_of_a_start_ends_no_listed_run(
+    #[values(Outcome::Unhealthy, Outcome::Full, Outcome::Late)] outcome: Outcome,
+) {
+    let mut world = World::new(2);
+    world.workers.values_mut().for_each(|worker| worker.drops_answers = true);
+    world.submit(job(1, vec![step(1, cores(1), 5_000)]));
+    while world.starts.is_empty() {
+        world.round();
+    }
+    let (_, task, run, worker) = world.starts[0].clone();
+    let address = worker.clone();
+    let repeat = Start {
+        target: Target { worker, address },
+        token: 0,
+        task,
+        run,
+        payload: String::new(),
+        checkpoint: String::new(),
+        deadline_ms: 0,
+        ticket: None,
+    };
+    world.workers.values_mut().for_each(|worker| worker.drops_answers = false);
+    world.run_for(300);
+    world.dispatcher.started(world.now, &repeat, outcome);
+    for _ in 0..1_000 {
+        world.round();
+        assert_eq!(world.running_twice(), [], "at {} ms", world.now);
+    }
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 1);
+}
+
 /// An owner without contact to the store cannot know whether it has a successor.
 #[test]
 fn an_owner_without_the_store_grants_no_leases_after_a_while() {
