Place no task whose earlier run has not ended

Callers would see a task at work on two workers at once.

Cause: a worker can list a run that is not the task's current one, for example after a late start. It is stopped, which takes up to a second, but nothing kept the task from being placed elsewhere meanwhile, or a placement that was not sent yet from being sent.

Evidence: restarts::a_task_with_a_run_that_is_being_stopped_waits_for_its_end failed: two runs of the task at 2,620 ms.

Change: a task is placed only if no run of it is known, unless its step allows copies. A placement that was not sent is removed when another run of the task is listed.

--- a/crates/jobs/src/dispatch/systems/placing/mod.rs
+++ b/crates/jobs/src/dispatch/systems/placing/mod.rs
@@ -241,6 +241,9 @@
         tasks: &[TaskId],
     ) -> bool {
         for &task in tasks {
+            if self.has_other_run(step, task) {
+                continue;
+            }
             match self.choose(now, rooms, policy, step, task) {
                 Choice::Worker(key) => {
                     let run = self.last_run(task) + 1;
@@ -262,7 +265,7 @@
         step: &Step,
         tasks: &[TaskId],
     ) -> bool {
-        if tasks.len() != step.count as usize {
+        if tasks.len() != step.count as usize || tasks.iter().any(|task| self.has_other_run(step, *task)) {
             return true;
         }
         let run = tasks.iter().map(|task| self.last_run(*task)).max().unwrap_or(0) + 1;
@@ -289,6 +292,11 @@
         true
     }
 
+    /// True if a run of a waiting task is known that has not ended, and the step allows no second one beside it.
+    fn has_other_run(&self, step: &Step, task: TaskId) -> bool {
+        !step.speculative && self.placed_runs(task, task).next().is_some()
+    }
+
     fn last_run(&self, task: TaskId) -> u32 {
         let row = self.table.get(task.job).and_then(|job| job.progress.task(&job.submission, task));
         row.map_or(0, |row| row.run)
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -365,6 +365,7 @@
     /// stopped.
     fn handle_unplaced_run(&mut self, now: u64, key: WorkerKey, target: &Target, listed: &RunStatus) {
         let (task, number) = (listed.task, listed.run);
+        self.requeue_unsent_run(task);
         let resumed = self.reattach_run(key, task, number);
         log::warn!(
             task:% = task, run = number, worker = target.worker.as_str(), resumed = resumed;
@@ -399,6 +400,18 @@
         }
     }
 
+    /// Removes the run of a task whose start was not sent, because another run of the task has not ended.
+    fn requeue_unsent_run(&mut self, task: TaskId) {
+        let unsent = |key: &WorkerKey| {
+            let run = self.workers.get(*key).and_then(|worker| worker.runs.get(&task));
+            run.is_some_and(|run| !run.sent)
+        };
+        let placed = self.placed_runs(task, task).map(|(_, key)| key).find(unsent);
+        if let Some(key) = placed.filter(|_| !self.allows_copies(task)) {
+            self.requeue(key, task, "another run of the task has not ended");
+        }
+    }
+
     /// Marks a waiting task as placed where its last run continues. False if the task has another run or its
     /// job is not active.
     fn reattach_run(&mut self, key: WorkerKey, task: TaskId, number: u32) -> bool {
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    fn allows_copies(&self, task: TaskId) -> bool {
+    pub(super) fn allows_copies(&self, task: TaskId) -> bool {
         let step = self.table.get(task.job).and_then(|job| job.submission.steps.get(usize::from(task.step)));
         step.is_some_and(|step| step.speculative && !step.long_running && !step.gang)
     }
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use rattanfall_jobs::dispatch::command::Command;
-use rattanfall_jobs::dispatch::event::WorkerRecord;
+use rattanfall_jobs::dispatch::event::{EndReason, WorkerRecord};
 use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
 use support::{World, cores, job, step};
@@ -301,3 +301,27 @@
     assert_eq!(world.state(2), Some(JobState::Completed));
     assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
 }
+
+/// Guards against a task that is placed while a run of it that the owner did not place is being stopped.
+#[test]
+fn a_task_with_a_run_that_is_being_stopped_waits_for_its_end() {
+    let mut world = World::new(2);
+    world.stop_ms = 900;
+    world.run_for(1_000);
+    world.submit(job(1, vec![step(2, cores(16), 1_500)]));
+    run_until_started(&mut world, 2);
+    world.submit(job(2, vec![step(1, cores(1), 5_000)]));
+    run_checked(&mut world, 1_000);
+    let worker = world.worker_on("red-00");
+    let run = support::Run {
+        number: 3,
+        start: world.now,
+        ends: world.now + 5_000,
+        reason: EndReason::Done,
+        speed: 100,
+        need: cores(1),
+    };
+    world.workers.get_mut(&worker).expect("it is up").runs.insert(support::task(2, 0, 0), run);
+    run_checked(&mut world, 15_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
