--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -163,7 +163,7 @@
         }
     }
 
-    fn allows_copies(&self, task: TaskId) -> bool {
+    pub(super) fn allows_copies(&self, task: TaskId) -> bool {
         self.step(task).is_some_and(|step| step.speculative && !step.long_running && !step.gang)
     }
 
--- a/crates/jobs/tests/drains.rs
+++ b/crates/jobs/tests/drains.rs
@@ -7,7 +7,7 @@
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
-use support::{ROUND_MS, World, cores, job, step, task};
+use support::{ROUND_MS, World, cores, job, step};
 
 /// Time after which idle workers are polled before a start is sent to them, in milliseconds.
 const IDLE_MS: u64 = 1_500;
@@ -120,7 +120,8 @@
     let worker = submit(&mut world, Step { long_running: true, ..step(1, cores(1), 700) });
     run_checked(&mut world, 1_000);
     set_partitioned(&mut world, &worker, true);
-    world.dispatcher.started(world.now, &worker, task(1, 0, 0), 1, Outcome::Unknown);
+    let start = world.start_orders[0].1.clone();
+    world.dispatcher.started(world.now, &start, Outcome::Unknown);
     close(&mut world, &worker, closing);
     run_checked(&mut world, 1_000);
     set_partitioned(&mut world, &worker, false);
