Keep the number of fruitless requests about a step while its tasks wait

Callers saw: jobs of a queue with a policy start seconds late while workers are idle, because the service of the policy is busy with steps that it permits on no worker.

Cause: such a step is to go after the others for 1 s, then 2 s, up to 16 s, but what is known of a step was removed once its decisions and its delay were over, the number of its requests included, so the delay was always 1 s.

Change: the number stays while tasks of the step wait; it goes with the job, or once no task waits and decisions and delay are over. Only requests about workers with room count. A request without a usable answer doesn't count, since it tells nothing about the step, but no longer shortens a longer delay.

--- a/crates/jobs/src/dispatch/systems/policy.rs
+++ b/crates/jobs/src/dispatch/systems/policy.rs
@@ -12,6 +12,7 @@
 use super::super::worker::WorkerKey;
 use crate::catalog::Policy;
 use crate::ids::{JobId, StepId, TaskId};
+use crate::table::{Table, TaskState};
 
 /// Largest number of workers in one request. The service needs time for each of them.
 const MAX_WORKERS_ASKED: usize = 30;
@@ -46,23 +47,29 @@
 struct StepDecisions {
     /// Decisions by worker.
     workers: BTreeMap<String, Decision>,
-    /// Requests since a worker last took a task of the step.
+    /// Requests about workers with room since a worker last took a task of the step.
     fruitless: u32,
     /// Time until which other steps go first.
     deferred_until: u64,
 }
 
 impl StepDecisions {
-    /// Lets other steps go first for some time.
-    fn defer(&mut self, now: u64) {
+    /// Lets other steps go first for some time, at least for as long as before.
+    fn defer(&mut self, now: u64, delay_ms: u64) {
+        self.deferred_until = self.deferred_until.max(now + delay_ms);
+    }
+
+    /// Counts a request about workers with room. Other steps go first until a task starts.
+    fn count_request(&mut self, now: u64) {
         let delay = STEP_DELAY_MS << self.fruitless.min(MAX_STEP_DELAY_MS.ilog2());
-        self.deferred_until = now + delay.min(MAX_STEP_DELAY_MS);
+        self.defer(now, delay.min(MAX_STEP_DELAY_MS));
         self.fruitless += 1;
     }
 
-    /// True if nothing of it is used any more.
-    fn expired(&self, now: u64) -> bool {
-        self.deferred_until <= now && self.workers.values().all(|decision| decision.until <= now)
+    /// Removes the decisions that are no longer used. True if there is none left and no delay.
+    fn expire(&mut self, now: u64) -> bool {
+        self.workers.retain(|_, decision| decision.until > now);
+        self.workers.is_empty() && self.deferred_until <= now
     }
 }
 
@@ -93,6 +100,7 @@
     workers: Vec<String>,
     /// Time that the service declares for it, in milliseconds.
     declared_ms: u64,
+    urgency: Urgency,
 }
 
 /// Decisions of the policy and the requests for them.
@@ -144,7 +152,7 @@
         self.policy_tickets.failures = 0;
         let Some(request) = self.policy_tickets.close_request(step) else { return };
         self.unchanged = false;
-        self.policy_tickets.steps.retain(|_, decisions| !decisions.expired(now));
+        self.remove_expired(now);
         if !self.tracks.contains_key(&step.job) {
             return;
         }
@@ -153,7 +161,11 @@
         let until = now.saturating_add(usable_ms);
         let mut tickets: BTreeMap<String, String> = permitted.into_iter().collect();
         let decisions = self.policy_tickets.steps.entry(step).or_default();
-        decisions.defer(now);
+        match request.urgency {
+            Urgency::Prompt | Urgency::Deferred => decisions.count_request(now),
+            // No task could have started, whatever the policy decides.
+            Urgency::Ahead => decisions.defer(now, STEP_DELAY_MS),
+        }
         for worker in request.workers {
             let ticket = tickets.remove(&worker);
             decisions.workers.insert(worker, Decision { ticket, until });
@@ -172,10 +184,19 @@
         tickets.failures += 1;
         if self.tracks.contains_key(&step.job) {
             let decisions = tickets.steps.entry(step).or_default();
-            decisions.deferred_until = now + STEP_DELAY_MS;
+            // Tells nothing about the step, so its delay does not grow.
+            decisions.defer(now, STEP_DELAY_MS);
         }
     }
 
+    /// Removes what is known of steps and no longer used. The number of a step's requests is used while its tasks wait.
+    fn remove_expired(&mut self, now: u64) {
+        let table = &self.table;
+        self.policy_tickets.steps.retain(|step, decisions| {
+            !decisions.expire(now) || decisions.fruitless > 0 && has_waiting_tasks(table, *step)
+        });
+    }
+
     /// Workers that may run a task's step, with tickets that stay valid long enough for a start.
     pub(super) fn permitted_workers(&self, now: u64, task: TaskId) -> Vec<WorkerKey> {
         let Some(decisions) = self.policy_tickets.steps.get(&task.step_id()) else { return Vec::new() };
@@ -269,7 +290,7 @@
             if tickets.outstanding.len() >= most {
                 return;
             }
-            tickets.outstanding.insert(step, Outstanding { workers: workers.clone(), declared_ms });
+            tickets.outstanding.insert(step, Outstanding { workers: workers.clone(), declared_ms, urgency });
             let declared = tickets.outstanding.values().map(|request| request.declared_ms);
             let expected_ms = declared.fold(ANSWER_SLACK_MS, u64::saturating_add);
             let timeout_ms = expected_ms.saturating_mul(1 << tickets.failures.min(MAX_DOUBLINGS));
@@ -278,3 +299,11 @@
         }
     }
 }
+
+/// True if tasks of a step wait to be placed.
+fn has_waiting_tasks(table: &Table, step: StepId) -> bool {
+    let Some(job) = table.get(step.job) else { return false };
+    let occurrence = job.progress.occurrence(step.occurrence);
+    let rows = occurrence.map_or(&[][..], |o| o.step(&job.submission, usize::from(step.step)));
+    rows.iter().any(|task| task.state == TaskState::Waiting)
+}
--- a/crates/jobs/tests/policy.rs
+++ b/crates/jobs/tests/policy.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use rattanfall_jobs::catalog::Policy;
-use rattanfall_jobs::spec::Step;
+use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::spec::{Schedule, Step};
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
 use support::{PolicyService, UNIX, World, catalog, cores, job, step, team};
@@ -150,3 +153,67 @@
     world.run_for(2_000);
     assert_eq!(incomplete(&world, 0..20), [0; 0]);
 }
+
+/// Guards against the delay of a step that starts anew with each request, because the number of its requests is forgotten
+/// in between.
+#[test]
+fn many_hopeless_jobs_do_not_delay_the_others() {
+    let mut world = world(TERMS);
+    for id in 1_000..1_040 {
+        service(&mut world).denied_jobs.insert(id);
+        world.submit(job(id, vec![Step { long_running: true, ..step(1, cores(1), 300) }]));
+    }
+    // Their delays grow meanwhile.
+    world.run_for(60_000);
+    let mut late = BTreeSet::new();
+    for id in 0..150 {
+        submit_jobs(&mut world, id..id + 1, 200);
+        late.extend(incomplete(&world, 0..id.saturating_sub(15)));
+    }
+    assert!(late.is_empty(), "{} of 150 not completed 3 s after they were submitted", late.len());
+}
+
+/// As above, for one job: the intervals between the requests that go before those of others.
+#[test]
+fn a_step_that_starts_nothing_is_asked_about_less_and_less() {
+    let mut world = world(TERMS);
+    service(&mut world).denied_jobs.insert(1_000);
+    world.submit(job(1_000, vec![Step { long_running: true, ..step(1, cores(1), 300) }]));
+    // The service is always busy, so that a request that may wait is not sent.
+    for id in 0..1_200 {
+        submit_jobs(&mut world, id..id + 1, 80);
+    }
+    let requests = &service(&mut world).requests;
+    let times: Vec<u64> =
+        requests.iter().filter(|(_, request)| request.step.job.0 == 1_000).map(|(at, _)| *at).collect();
+    assert!((3..=10).contains(&times.len()), "{} requests in 96 s, at {times:?}", times.len());
+}
+
+/// Guards against a job that waited for room for long and then waits for its turn to be decided on.
+#[test]
+fn a_job_that_waited_for_room_is_decided_on_once_there_is_room() {
+    let mut world = world(TERMS);
+    for id in 1_000..1_012 {
+        world.submit(job(id, vec![step(1, cores(10), 60_000)]));
+    }
+    submit_jobs(&mut world, 0..400, 150);
+    let begun = |world: &World| world.starts.iter().filter(|(_, task, ..)| task.job.0 >= 1_000).count();
+    assert_eq!(begun(&world), 6);
+    submit_jobs(&mut world, 400..430, 150);
+    assert_eq!(begun(&world), 12);
+}
+
+/// Guards against what is known of steps that are done staying until the end of a repeated job.
+#[test]
+fn what_is_known_of_the_steps_of_a_repeated_job_is_removed() {
+    let mut world = world(TERMS);
+    let schedule = Schedule { start_ms: UNIX + 1_000, interval_ms: 500, times: 1_000 };
+    let mut submission = job(1, vec![step(12, cores(8), 300)]);
+    submission.schedule = Some(schedule);
+    world.submit(submission);
+    world.run_for(60_000);
+    let progress = &world.dispatcher.table.get(JobId(1)).expect("it is submitted").progress;
+    assert!(progress.begun >= 100, "{} occurrences have begun", progress.begun);
+    let known = format!("{:?}", world.dispatcher).matches("StepDecisions {").count();
+    assert!(known <= 20, "{known} steps are known");
+}
