Store the cancellation of a job that is not stored yet

Callers saw: a client handed a job in, had no answer, left, and cancelled it at another instance. "No such job" was answered at once; then the first instance repeated its write, or the store carried it out late, and the job ran although its cancellation had been acknowledged.

Cause: the intake didn't hold the job when it was cancelled, and nothing was stored that would have stopped it.

Change: the cancellation is stored before the answer, which stays "no such job". A submission that is read after it makes a job that is cancelled at once, adopted like any other, so that runs and parts that a former owner stored end. Nothing is shown while no submission is stored. The owner deletes a cancellation without a job after the retention, 30 s at least, also after a takeover; holders and readers drop it when they read that. A write for a caller that has left is still repeated until its deadline.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -161,6 +161,10 @@
     dropped: Vec<JobId>,
     /// Removed jobs whose records could not be deleted from the intake.
     undeleted: Vec<JobId>,
+    /// Cancellations of jobs that are not stored, with the times at which they were read.
+    early_cancellations: BTreeMap<JobId, u64>,
+    /// Cancellations removed since the last call of [`Self::take_dropped_cancellations`].
+    dropped_cancellations: Vec<JobId>,
     /// Jobs that workers have begun since the last call of [`Self::take_started`].
     started_jobs: Vec<JobId>,
     /// Lateness of the jobs that completed since the last call, in milliseconds.
@@ -230,6 +234,8 @@
             intake_until: 0,
             dropped: Vec::new(),
             undeleted: Vec::new(),
+            early_cancellations: BTreeMap::new(),
+            dropped_cancellations: Vec::new(),
             started_jobs: Vec::new(),
             lateness: Vec::new(),
             unix_offset: 0,
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -2,6 +2,8 @@
 
 use super::super::Dispatcher;
 use crate::ids::JobId;
+use crate::record::Intake;
+use crate::spec::Submission;
 use crate::table::{Occurrence, Phase};
 
 /// Largest age of a job that is believed, in milliseconds. The time of day may be wrong by seconds, but
@@ -13,12 +15,38 @@
 /// Interval between two searches for jobs whose retention is over, in milliseconds. A search visits all jobs,
 /// and the interval is short against the retention time.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
+/// Shortest retention of a cancellation without a job, in milliseconds. Longer than a call lasts whose submission the store
+/// carries out late.
+const MIN_CANCELLATION_MS: u64 = 30_000;
 
 impl Dispatcher {
-    /// Handles a job that was just added to the table.
+    /// Applies a record of the intake. Returns the job if it is new or newly cancelled.
+    pub fn apply_intake(&mut self, now: u64, intake: Intake) -> Option<JobId> {
+        let submitted = matches!(intake, Intake::Submitted(_));
+        match &intake {
+            Intake::Canceled(id) if self.table.get(*id).is_none() => {
+                self.early_cancellations.insert(*id, now);
+            }
+            Intake::Canceled(_) | Intake::SubmissionDropped => {}
+            Intake::CancellationDropped(id) | Intake::Submitted(Submission { id, .. }) => {
+                self.early_cancellations.remove(id);
+            }
+        }
+        let id = self.table.apply_intake(intake)?;
+        if submitted {
+            self.submitted(now, id);
+        } else {
+            self.canceled(now, id);
+        }
+        Some(id)
+    }
+
+    /// Handles a job that was just added to the table. One that was cancelled before ends at once.
     pub fn submitted(&mut self, now: u64, id: JobId) {
         self.track(now, id);
-        self.add_arrival(now, id);
+        if self.table.get(id).is_some_and(|job| !job.canceled) {
+            self.add_arrival(now, id);
+        }
         self.unchanged = false;
         // The progress may have been read before the submission, with tasks that a former owner placed.
         self.adopt_job(now, id);
@@ -75,7 +103,7 @@
         }
     }
 
-    /// Removes ended jobs whose retention is over.
+    /// Removes ended jobs whose retention is over, and cancellations without a job.
     ///
     /// The record of their progress stays until their submission is deleted from the intake. Without it the next
     /// owner would take the submission for a new job.
@@ -95,6 +123,14 @@
             self.dirty_jobs.remove(&id);
             self.dropped.push(id);
         }
+        let retention_ms = self.options.retention_ms.max(MIN_CANCELLATION_MS);
+        let expired = |at: u64| at + retention_ms < now;
+        let read = self.early_cancellations.iter();
+        let ids: Vec<JobId> = read.filter(|(_, at)| expired(**at)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.early_cancellations.remove(&id);
+            self.dropped_cancellations.push(id);
+        }
     }
 
     /// Jobs whose records in the intake are to be deleted, since the last call.
@@ -102,6 +138,18 @@
         std::mem::take(&mut self.dropped)
     }
 
+    /// Cancellations of jobs that were never stored, which are to be deleted from the intake, since the last call.
+    pub fn take_dropped_cancellations(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.dropped_cancellations)
+    }
+
+    /// Handles that cancellations may not have been deleted from the intake. That is repeated with the next sweep.
+    pub fn cancellations_kept(&mut self, ids: Vec<JobId>) {
+        for id in ids.into_iter().filter(|id| self.table.canceled_early(*id)) {
+            self.early_cancellations.entry(id).or_insert(0);
+        }
+    }
+
     /// Handles whether the records of jobs were deleted from the intake. If not, that is repeated with the next
     /// sweep.
     pub fn intake_deleted(&mut self, jobs: Vec<JobId>, stored: bool) {
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -25,6 +25,7 @@
             self.stored_parts.adopt(id, &self.table.take_parts(id));
             self.dirty_jobs.insert(id);
         }
+        self.early_cancellations = self.table.early_cancellations().map(|id| (id, now)).collect();
         log::info!(
             epoch = self.epoch, jobs = self.table.jobs().count(), workers = self.workers.len();
             "this instance owns the work"
--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -182,16 +182,17 @@
         }
     }
 
+    /// Stores a cancellation, also of a job that does not exist: its submission may still be on the way to the store.
     async fn cancel(&self, id: JobId, deadline: Instant) -> Answer {
-        match self.find_job(id, deadline).await {
-            Ok(None) => return Answer::NoJob,
+        let known = match self.find_job(id, deadline).await {
             Ok(Some(JobState::Canceled)) => return Answer::Canceled,
-            Ok(Some(_)) => {}
+            Ok(job_state) => job_state.is_some(),
             Err(refusal) => return Answer::Refused(refusal, STORE_RETRY_S),
-        }
+        };
         let stored = self.store_intake(record::canceled(id), deadline).await;
-        log::info!(job:% = id, stored:? = stored; "a job was cancelled");
+        log::info!(job:% = id, known = known, stored:? = stored; "a job was cancelled");
         match stored {
+            Stored::Yes if !known => Answer::NoJob,
             Stored::Yes => Answer::Canceled,
             Stored::No => Answer::Refused(Refusal::Store, STORE_RETRY_S),
             Stored::Unknown => Answer::Unknown,
--- a/crates/jobs/src/node/calls/mod.rs
+++ b/crates/jobs/src/node/calls/mod.rs
@@ -87,7 +87,7 @@
     NoQueue,
     /// The queue requires a key, and the call has none or an unknown one.
     Unauthorized,
-    /// The job does not exist.
+    /// The job does not exist. If it was to be cancelled, it will not run either.
     NoJob,
     /// The outcome is unknown: the store did not answer or the node stopped. A submission or cancellation may be
     /// stored.
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -10,8 +10,9 @@
 use crate::dispatch::command::Command;
 use crate::dispatch::event::Outcome;
 use crate::dispatch::{Counters, Dispatcher, Write};
+use crate::ids::JobId;
 use crate::ports::{Fence, Machines, Platform, Store, StoreError, Topic, Upstreams};
-use crate::record::{Entry, canceled, count_fitting};
+use crate::record::{Entry, count_fitting, dropped_cancellation, dropped_submission};
 
 /// Maximum interval between two ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,7 +43,7 @@
             let now = self.now();
             let begun = Instant::now();
             let idle = writing.as_ref().is_none_or(tokio::task::JoinHandle::is_finished);
-            let (commands, write, dropped, fenced) = {
+            let (commands, write, dropped, cancellations, fenced) = {
                 let mut state = self.state.borrow_mut();
                 let Some(dispatcher) = state.dispatcher() else { continue };
                 dispatcher.set_unix(now, unix_ms());
@@ -56,8 +57,10 @@
                 dispatcher.take_lateness().into_iter().for_each(|late_ms| self.handle.meters.ended(late_ms));
                 let write = if idle { dispatcher.take_write(now) } else { None };
                 let dropped = dispatcher.take_dropped();
+                let cancellations = dispatcher.take_dropped_cancellations();
                 let started = dispatcher.take_started();
-                let decided = (dispatcher.take_commands(), write, dropped, dispatcher.fenced_out());
+                let fenced = dispatcher.fenced_out();
+                let decided = (dispatcher.take_commands(), write, dropped, cancellations, fenced);
                 state.unpublished.extend(started);
                 decided
             };
@@ -77,6 +80,9 @@
             if !dropped.is_empty() {
                 self.run_once("delete_intake", Rc::clone(&self).delete_intake(dropped));
             }
+            if !cancellations.is_empty() {
+                self.run_once("delete_cancellations", Rc::clone(&self).delete_cancellations(cancellations));
+            }
             for command in commands {
                 self.run_once("execute", Rc::clone(&self).execute(command));
             }
@@ -176,23 +182,35 @@
     }
 
     /// Deletes the intake records of ended jobs whose retention period is over.
-    async fn delete_intake(self: Rc<Self>, jobs: Vec<crate::ids::JobId>) {
+    async fn delete_intake(self: Rc<Self>, jobs: Vec<JobId>) {
         let Some(epoch) = self.epoch() else { return };
         self.state.borrow_mut().unpublished.extend(&jobs);
-        let empty = |key: String| Entry { key, value: Vec::new() };
-        let entries: Vec<Entry> =
-            jobs.iter().flat_map(|id| [empty(format!("s{id}")), empty(canceled(*id).key)]).collect();
-        let mut rest = entries.as_slice();
+        let records = |id: &JobId| [dropped_submission(*id), dropped_cancellation(*id)];
+        let deleted = self.append_deletions(&jobs.iter().flat_map(records).collect::<Vec<_>>()).await;
+        self.notify_dispatcher(epoch, |d, _| d.intake_deleted(jobs, deleted));
+    }
+
+    /// Deletes the cancellations of jobs that were never stored. A submission that arrives meanwhile stays.
+    async fn delete_cancellations(self: Rc<Self>, ids: Vec<JobId>) {
+        let Some(epoch) = self.epoch() else { return };
+        let records: Vec<Entry> = ids.iter().map(|id| dropped_cancellation(*id)).collect();
+        if !self.append_deletions(&records).await {
+            self.notify_dispatcher(epoch, |d, _| d.cancellations_kept(ids));
+        }
+    }
+
+    /// Appends records to the intake that delete others. False if not all of them are certain to be stored.
+    async fn append_deletions(&self, records: &[Entry]) -> bool {
+        let mut rest = records;
         while !rest.is_empty() {
             let (part, later) = rest.split_at(count_fitting(rest, self.options.append_bytes));
             if let Err(error) = self.platform.store().append(Topic::Intake, part, None, None).await {
-                log::warn!(error:% = error, records = rest.len(); "records of ended jobs could not be deleted");
-                self.notify_dispatcher(epoch, |d, _| d.intake_deleted(jobs, false));
-                return;
+                log::warn!(error:% = error, records = rest.len(); "records of the intake could not be deleted");
+                return false;
             }
             rest = later;
         }
-        self.notify_dispatcher(epoch, |d, _| d.intake_deleted(jobs, true));
+        true
     }
 
     /// Passes an event to the scheduler if this node is still the owner in the same epoch.
--- a/crates/jobs/src/node/work.rs
+++ b/crates/jobs/src/node/work.rs
@@ -123,12 +123,7 @@
                 table.apply_intake(intake);
             }
             Role::Owner(dispatcher) => {
-                let Some(id) = dispatcher.table.apply_intake(intake) else { return };
-                if dispatcher.table.get(id).is_some_and(|job| job.canceled) {
-                    dispatcher.canceled(now, id);
-                } else {
-                    dispatcher.submitted(now, id);
-                }
+                let Some(id) = dispatcher.apply_intake(now, intake) else { return };
                 state.unpublished.insert(id);
                 self.owner_wakeup.notify_one();
             }
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -73,10 +73,12 @@
 pub enum Intake {
     /// A job was accepted.
     Submitted(Submission),
-    /// A caller cancelled a job.
+    /// A caller cancelled a job, which may not be stored yet.
     Canceled(JobId),
-    /// A key was deleted.
-    Dropped,
+    /// A cancellation was deleted.
+    CancellationDropped(JobId),
+    /// A submission was deleted.
+    SubmissionDropped,
 }
 
 /// Owner: the instance that schedules the jobs.
@@ -148,12 +150,24 @@
     Entry { key: format!("s{}", submission.id), value: encode(submission) }
 }
 
+/// Creates the record that deletes a submission from the intake.
+#[must_use]
+pub fn dropped_submission(id: JobId) -> Entry {
+    Entry { key: format!("s{id}"), value: Vec::new() }
+}
+
 /// Creates the intake record of a cancelled job.
 #[must_use]
 pub fn canceled(id: JobId) -> Entry {
     Entry { key: format!("c{id}"), value: vec![VERSION] }
 }
 
+/// Creates the record that deletes a cancellation from the intake.
+#[must_use]
+pub fn dropped_cancellation(id: JobId) -> Entry {
+    Entry { key: format!("c{id}"), value: Vec::new() }
+}
+
 /// Creates the progress record of a job.
 #[must_use]
 pub fn progress(id: JobId, progress: &Progress) -> Entry {
@@ -232,13 +246,12 @@
 ///
 /// Fails on an unknown key or encoding version, or if the value cannot be decoded.
 pub fn read_intake(entry: &Entry) -> Result<Intake, BadRecord> {
-    if entry.value.is_empty() {
-        return Ok(Intake::Dropped);
-    }
     let id = entry.key.get(1..).and_then(|id| id.parse().ok()).ok_or(BadRecord::Key)?;
-    match entry.key.as_bytes().first() {
-        Some(b's') => Ok(Intake::Submitted(decode(&entry.value)?)),
-        Some(b'c') => Ok(Intake::Canceled(id)),
+    match (entry.key.as_bytes().first(), entry.value.is_empty()) {
+        (Some(b's'), false) => Ok(Intake::Submitted(decode(&entry.value)?)),
+        (Some(b's'), true) => Ok(Intake::SubmissionDropped),
+        (Some(b'c'), false) => Ok(Intake::Canceled(id)),
+        (Some(b'c'), true) => Ok(Intake::CancellationDropped(id)),
         _ => Err(BadRecord::Key),
     }
 }
--- a/crates/jobs/src/summary/mod.rs
+++ b/crates/jobs/src/summary/mod.rs
@@ -42,6 +42,9 @@
     jobs: BTreeMap<JobId, Summary>,
     /// States read from the intake that the published ones do not cover yet, with the offsets of their records.
     recent: BTreeMap<JobId, (u64, Summary)>,
+    /// Cancellations of unknown jobs, read from the part of the intake that the published states do not cover yet, with the
+    /// offsets of their records.
+    canceled: BTreeMap<JobId, u64>,
     /// Offset of the intake before which the published states cover all records.
     intake_offset: u64,
     /// Owner that published last.
@@ -115,6 +118,7 @@
             SummaryChange::IntakeOffset(offset) => {
                 self.intake_offset = self.intake_offset.max(offset);
                 self.recent.retain(|_, (at, _)| *at >= offset);
+                self.canceled.retain(|_, at| *at >= offset);
             }
             SummaryChange::Job(id, summary) => match self.jobs.get_mut(&id) {
                 Some(job) => job.state = job.state.later(summary.state),
@@ -135,19 +139,28 @@
         }
         match intake {
             Intake::Submitted(submission) => {
-                let summary = Summary { queue: submission.queue.clone(), state: JobState::Queued };
-                self.recent.entry(submission.id).or_insert((offset, summary));
+                let canceled = self.canceled.remove(&submission.id);
+                let shown = if canceled.is_some() { JobState::Canceled } else { JobState::Queued };
+                let summary = Summary { queue: submission.queue.clone(), state: shown };
+                let at = canceled.map_or(offset, |at| at.max(offset));
+                self.recent.entry(submission.id).or_insert((at, summary));
             }
             Intake::Canceled(id) => {
                 if let Some((at, summary)) = self.recent.get_mut(id) {
-                    *at = offset;
+                    // The submission may have been read first although it is the later record.
+                    *at = offset.max(*at);
                     summary.state = JobState::Canceled;
                 } else if let Some(job) = self.jobs.get(id) {
                     let summary = Summary { queue: job.queue.clone(), state: JobState::Canceled };
                     self.recent.insert(*id, (offset, summary));
+                } else {
+                    self.canceled.insert(*id, offset);
                 }
             }
-            Intake::Dropped => {}
+            Intake::CancellationDropped(id) => {
+                self.canceled.remove(id);
+            }
+            Intake::SubmissionDropped => {}
         }
     }
 
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -99,6 +99,7 @@
     early: BTreeMap<JobId, Progress>,
     /// Parts of progress that were read and not added to a job yet.
     parts: BTreeMap<PartId, Vec<Task>>,
+    /// Cancellations in the intake, also those of jobs that are not stored.
     canceled: BTreeSet<JobId>,
     /// Owner according to the newest owner record that was read.
     pub owner: Owner,
@@ -140,7 +141,11 @@
                 job.canceled = true;
                 fresh.then_some(id)
             }
-            Intake::Dropped => None,
+            Intake::CancellationDropped(id) => {
+                self.canceled.remove(&id);
+                None
+            }
+            Intake::SubmissionDropped => None,
         }
     }
 
@@ -177,7 +182,7 @@
             Change::Order(machine, at) => {
                 self.orders.insert(machine, at);
             }
-            Change::Dropped(id) => self.remove(id),
+            Change::Dropped(id) => self.remove_job(id),
             Change::Part(part, tasks) => {
                 self.parts.insert(part, tasks);
             }
@@ -214,12 +219,28 @@
 
     /// Removes a job and all that was read about it.
     pub fn remove(&mut self, id: JobId) {
+        self.remove_job(id);
+        self.canceled.remove(&id);
+    }
+
+    /// Removes a job. A cancellation stays until it is deleted from the intake.
+    fn remove_job(&mut self, id: JobId) {
         self.jobs.remove(&id);
         self.early.remove(&id);
-        self.canceled.remove(&id);
         self.take_parts(id);
     }
 
+    /// True if the intake contains a cancellation of a job that is not stored.
+    #[must_use]
+    pub fn canceled_early(&self, id: JobId) -> bool {
+        self.canceled.contains(&id) && !self.jobs.contains_key(&id)
+    }
+
+    /// Cancellations of jobs that are not stored.
+    pub fn early_cancellations(&self) -> impl Iterator<Item = JobId> {
+        self.canceled.iter().copied().filter(|id| !self.jobs.contains_key(id))
+    }
+
     /// Removes the progress of ended jobs without a submission and returns their ids. Meaningful only once the intake
     /// was read to its end.
     pub fn take_ended_orphans(&mut self) -> Vec<JobId> {
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -1,7 +1,7 @@
 //! Cluster of nodes over one in-memory platform.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -147,6 +147,15 @@
         self.appended.notify_waiters();
     }
 
+    /// Keys of the records that the intake holds.
+    pub(crate) fn intake_keys(&self) -> Vec<String> {
+        let shared = self.shared.borrow();
+        let entries = shared.logs.get(&Topic::Intake).map_or(&[][..], |log| &log.entries);
+        let newest: BTreeMap<&str, bool> =
+            entries.iter().map(|entry| (entry.key.as_str(), !entry.value.is_empty())).collect();
+        newest.into_iter().filter(|(_, held)| *held).map(|(key, _)| key.to_owned()).collect()
+    }
+
     /// Time of the last start of a task of a job.
     pub(crate) fn last_start(&self, job: u64) -> Option<Instant> {
         self.shared.borrow().started.get(&JobId(job)).copied()
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -9,6 +9,7 @@
 use rattanfall_jobs::ports::{Fence, Group, Page, Store, StoreError, Topic};
 use rattanfall_jobs::record::Entry;
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::link::Link;
@@ -30,6 +31,8 @@
 const RECORD_OVERHEAD_BYTES: usize = 5;
 /// Overhead of a record when reading the newest records, in bytes.
 const CHUNK_RECORD_OVERHEAD_BYTES: usize = 40;
+/// Time after which a late append is executed.
+const LATE_TIME: Duration = Duration::from_millis(3_000);
 /// Maximum size of an append in bytes.
 pub(super) const MAX_APPEND_BYTES: usize = 2_000;
 
@@ -42,6 +45,8 @@
     Refuse,
     /// Appends are executed without an answer.
     LoseAnswers,
+    /// Appends to the intake are executed seconds later, without an answer.
+    DelayIntake,
     /// Calls are neither executed nor answered.
     Unavailable,
 }
@@ -221,6 +226,16 @@
         self.link.answer(bytes).await;
     }
 
+    /// Appends records to the intake some time later.
+    fn append_late(&self, entries: Vec<Entry>) {
+        let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
+        spawn_local(async move {
+            sleep(LATE_TIME).await;
+            shared.borrow_mut().logs.entry(Topic::Intake).or_default().entries.extend(entries);
+            appended.notify_waiters();
+        });
+    }
+
     /// Executes a call to a group.
     async fn group<T>(&self, act: impl FnOnce(&mut SharedState) -> T) -> Result<T, StoreError> {
         let call = async {
@@ -297,6 +312,10 @@
                 Topic::Intake => self.shared.borrow_mut().fail_at(Defect::Submission),
                 _ => {}
             }
+            if topic == Topic::Intake && self.shared.borrow().fault == Fault::DelayIntake {
+                self.append_late(entries.to_vec());
+                std::future::pending::<()>().await;
+            }
             let result = self.shared.borrow_mut().logs.entry(topic).or_default().append(entries, fence, at);
             if result.is_ok() {
                 self.appended.notify_waiters();
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -434,14 +434,12 @@
             self.speculative_jobs.insert(id);
         }
         self.submissions.push(submission.clone());
-        self.dispatcher.table.apply_intake(Intake::Submitted(submission));
-        self.dispatcher.submitted(self.now, id);
+        self.dispatcher.apply_intake(self.now, Intake::Submitted(submission));
     }
 
     pub(crate) fn cancel(&mut self, id: u64) {
         self.canceled.push(JobId(id));
-        self.dispatcher.table.apply_intake(Intake::Canceled(JobId(id)));
-        self.dispatcher.canceled(self.now, JobId(id));
+        self.dispatcher.apply_intake(self.now, Intake::Canceled(JobId(id)));
     }
 
     /// State of a job as callers see it.
@@ -520,6 +518,15 @@
             self.canceled.retain(|id| !dropped.contains(id));
         }
         self.dispatcher.intake_deleted(dropped, deleted);
+        let cancellations = self.dispatcher.take_dropped_cancellations();
+        if deleted {
+            self.canceled.retain(|id| !cancellations.contains(id));
+            for id in cancellations {
+                self.dispatcher.apply_intake(self.now, Intake::CancellationDropped(id));
+            }
+        } else {
+            self.dispatcher.cancellations_kept(cancellations);
+        }
     }
 
     /// Delays a command if delays are on. True if it gets no answer now.
