Log which worker an order to a machine is about, and test the move that was reported

The order to move a machine had no answer and was carried out; the directory showed the new worker before the list of machines did, and it got tasks; the repeated order was answered "already done", and the owner took the runs of the worker that the list named by then for ended.

The lines about the order named neither the worker that it was sent for nor the one that the list showed; they do now.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -74,6 +74,11 @@
     pub(super) const fn new(now: u64, goal: Goal) -> Self {
         Self { goal, stage: Stage::Emptying(now), emptied: None, begun: false }
     }
+
+    /// Id of the worker that was emptied for it; empty if there is none.
+    fn emptied_worker(&self) -> &str {
+        self.emptied.as_ref().map_or("", |place| place.worker.as_str())
+    }
 }
 
 /// Machine with its order.
@@ -227,7 +232,9 @@
             Goal::Upkeep(wave) => Command::Maintain(name.to_owned(), *wave),
             Goal::Pool(pool) => Command::Move(name.to_owned(), pool.clone()),
         };
-        log::info!(machine = name, goal:? = order.goal; "the order is sent to the machine");
+        log::info!(
+            machine = name, goal:? = order.goal, emptied = order.emptied_worker(); "the order is sent to the machine"
+        );
         self.commands.push(command);
     }
 
@@ -250,8 +257,12 @@
 
     /// Handles the outcome of an order to a machine.
     pub fn machine_ordered(&mut self, now: u64, name: &str, outcome: MachineOutcome) {
-        log::info!(machine = name, outcome:? = outcome; "the machine order was answered");
         let Some(row) = self.fleet.rows.get_mut(name) else { return };
+        let emptied = row.order.as_ref().map_or("", Order::emptied_worker);
+        let listed = row.machine.worker.as_deref().unwrap_or_default();
+        log::info!(
+            machine = name, outcome:? = outcome, emptied = emptied, listed = listed; "the machine order was answered"
+        );
         let Some(order) = &mut row.order else { return };
         match outcome {
             MachineOutcome::Taken => {
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -94,3 +94,27 @@
     run_checked(&mut world, 1_000);
     assert_eq!(world.moves[before..], []);
 }
+
+/// Guards against a second run of the tasks of a moved machine's new worker. The move had no answer, and the directory showed the
+/// worker before the list of machines did.
+#[test]
+fn a_late_answer_to_a_move_ends_no_run_of_the_new_worker() {
+    let mut world = World::with(catalog(), &[("red", 2), ("blue", 2), ("spare", 4)]);
+    world.run_for(2_500);
+    world.moves.clear();
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    for id in 1..=6 {
+        world.submit(job(id, vec![step(8, cores(2), 3_000)]));
+    }
+    run_until(&mut world, "move", |world| !world.moves.is_empty());
+    world.machines_unread = true;
+    run_until(&mut world, "start on a new worker", |world| {
+        let moved = |machine: &str| world.moves.iter().any(|(_, name, _)| name == machine);
+        world.workers.values().any(|worker| moved(&worker.machine) && !worker.runs.is_empty())
+    });
+    world.machines_unread = false;
+    run_checked(&mut world, 1_500);
+    world.machine_fault = None;
+    run_checked(&mut world, 20_000);
+    assert!((1..=6).all(|id| world.state(id) == Some(JobState::Completed)));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -152,6 +152,8 @@
     pub(crate) stop_ms: u64,
     /// Orders that got no answer and are carried out at a later time.
     pub(crate) delayed_orders: Vec<(u64, Command)>,
+    /// True while the list of machines can't be read.
+    pub(crate) machines_unread: bool,
     /// True while delayed orders are carried out.
     delayed: bool,
     /// True if delayed orders outlast the process that they were sent to, and a loss of its connections.
@@ -320,6 +322,7 @@
             peak_cpu: 0,
             stop_ms: 0,
             delayed_orders: Vec::new(),
+            machines_unread: false,
             delayed: false,
             orders_outlast: false,
             delay: None,
@@ -490,7 +493,7 @@
         if self.now.is_multiple_of(300) {
             self.publish_directory();
         }
-        if self.dispatcher.needs_machine_list(self.now) {
+        if !self.machines_unread && self.dispatcher.needs_machine_list(self.now) {
             let machines = self.machines.values().map(|(machine, _)| machine.clone()).collect();
             self.dispatcher.set_machines(self.now, self.now, machines);
         }
