--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -152,6 +152,8 @@
     pub(crate) stop_ms: u64,
     /// Orders that got no answer and are carried out at a later time.
     pub(crate) delayed_orders: Vec<(u64, Command)>,
+    /// True while the list of machines can't be read.
+    pub(crate) machines_unread: bool,
     /// True while delayed orders are carried out.
     delayed: bool,
     /// True if delayed orders outlast the process that they were sent to, and a loss of its connections.
@@ -320,6 +322,7 @@
             peak_cpu: 0,
             stop_ms: 0,
             delayed_orders: Vec::new(),
+            machines_unread: false,
             delayed: false,
             orders_outlast: false,
             delay: None,
@@ -460,14 +463,12 @@
             self.speculative_jobs.insert(id);
         }
         self.submissions.push(submission.clone());
-        self.dispatcher.table.apply_intake(Intake::Submitted(submission));
-        self.dispatcher.submitted(self.now, id);
+        self.dispatcher.apply_intake(self.now, Intake::Submitted(submission));
     }
 
     pub(crate) fn cancel(&mut self, id: u64) {
         self.canceled.push(JobId(id));
-        self.dispatcher.table.apply_intake(Intake::Canceled(JobId(id)));
-        self.dispatcher.canceled(self.now, JobId(id));
+        self.dispatcher.apply_intake(self.now, Intake::Canceled(JobId(id)));
     }
 
     /// State of a job as callers see it.
@@ -492,7 +493,7 @@
         if self.now.is_multiple_of(300) {
             self.publish_directory();
         }
-        if self.dispatcher.needs_machine_list(self.now) {
+        if !self.machines_unread && self.dispatcher.needs_machine_list(self.now) {
             let machines = self.machines.values().map(|(machine, _)| machine.clone()).collect();
             self.dispatcher.set_machines(self.now, self.now, machines);
         }
@@ -546,6 +547,15 @@
             self.canceled.retain(|id| !dropped.contains(id));
         }
         self.dispatcher.intake_deleted(dropped, deleted);
+        let cancellations = self.dispatcher.take_dropped_cancellations();
+        if deleted {
+            self.canceled.retain(|id| !cancellations.contains(id));
+            for id in cancellations {
+                self.dispatcher.apply_intake(self.now, Intake::CancellationDropped(id));
+            }
+        } else {
+            self.dispatcher.cancellations_kept(cancellations);
+        }
     }
 
     /// Delays a command if delays are on. True if it gets no answer now.
