Stop a start without an answer once its team is over its limit

Callers would see a team get more than its limit after that was lowered (QUOTA).

Cause: the limit was checked when a task was placed, not when its start was sent or repeated.

Evidence: placing::a_start_without_an_answer_is_not_repeated_beyond_a_lowered_limit failed: the team runs 4 cores, its limit is lowered to 2, and a start that had got no answer is carried out at 1810; left: 5, right: 4.

Change: a team over its limit counts as a worker that takes no new tasks.

Result: the test holds. rattanfall-jobs: all tests pass, the checker among them.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -10,6 +10,7 @@
 use super::super::worker::WorkerKey;
 use super::polls::target;
 use crate::ids::TaskId;
+use crate::spec::Resources;
 use crate::table::Phase;
 
 /// Starts without an answer after which the run is stopped.
@@ -36,13 +37,16 @@
         let step = job.submission.steps.get(usize::from(task.step));
         let Some(worker) = self.workers.get(key) else { return };
         let suits = step.is_some_and(|step| worker.suits(step));
+        // The limit may have been lowered since the task was placed.
+        let over = !self.within_limit(task, Resources::default());
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let closed = worker.record.draining || self.evacuated.contains(&worker.record.zone);
+        let closed = over || worker.record.draining || self.evacuated.contains(&worker.record.zone);
         let clock = worker.clock_at(at, self.options.poll_wait_ms);
         let target = target(worker);
         let Some(run) = worker.runs.get_mut(&task).filter(|run| !run.stopping) else { return };
         if closed && !run.sent {
-            self.requeue(key, task, "the worker takes no new tasks");
+            let why = if over { "its team is over its limit" } else { "the worker takes no new tasks" };
+            self.requeue(key, task, why);
             return;
         }
         if closed && run.confirmed.is_some() {
@@ -52,7 +56,7 @@
         // The worker may have restarted as another kind since the start was first sent.
         if closed || clock.is_some() && !suits {
             log::info!(
-                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed;
+                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed, over = over;
                 "the worker no longer takes the task; its start is not repeated"
             );
             self.stop_run(now, key, task);
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use rattanfall_jobs::catalog::Policy;
+use std::sync::Arc;
+
+use rattanfall_jobs::catalog::{Catalog, Policy};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::spec::{Resources, Schedule, Step, Submission};
 use rattanfall_jobs::table::JobState;
@@ -90,6 +92,29 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
 
+/// Guards against a start that is repeated although its team's limit has been lowered below what the team uses.
+#[test]
+fn a_start_without_an_answer_is_not_repeated_beyond_a_lowered_limit() {
+    let limited = |version, cpu| Catalog {
+        version,
+        teams: vec![team("moss", Resources { cpu, memory: 0, accelerators: 0 })],
+        ..catalog()
+    };
+    let mut world = World::with(limited(1, 8_000), &[("red", 2)]);
+    world.submit(job(1, vec![step(4, cores(1), 5_000)]));
+    world.run_for(1_500);
+    world.workers.values_mut().for_each(|worker| worker.partitioned = true);
+    world.submit(job(2, vec![step(1, cores(1), 500)]));
+    world.run_for(50);
+    assert_eq!(world.start_orders.len(), 5);
+    world.dispatcher.set_catalog(Arc::new(limited(2, 2_000)));
+    world.workers.values_mut().for_each(|worker| worker.partitioned = false);
+    world.run_for(2_000);
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    world.run_for(5_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
+
 #[test]
 fn a_step_that_is_to_be_spread_has_one_task_on_each_worker() {
     let mut world = World::new(4);
