Take no refused order to a former process for the sign of a newer owner

Callers would see the owner give all work up, and wait for its successor.

Evidence: restarts::a_refused_order_to_the_former_process_is_no_sign_of_a_newer_owner failed without the condition on the token.

Change: a refusal counts only for an order with the worker's present token, for speeds as for starts and stops.

--- a/crates/jobs/src/dispatch/systems/throttling.rs
+++ b/crates/jobs/src/dispatch/systems/throttling.rs
@@ -6,7 +6,6 @@
 use super::super::event::{Outcome, WorkerStatus};
 use super::super::worker::WorkerKey;
 use super::polls::target;
-use crate::ids::TaskId;
 
 /// Share of a serving task's target above which best-effort tasks are slowed down, in percent.
 const SLOW_DOWN_PERCENT: u64 = 85;
@@ -52,12 +51,14 @@
     }
 
     /// Handles the outcome of an order to change a run's speed.
-    pub fn throttled(&mut self, id: &str, task: TaskId, number: u32, outcome: Outcome) {
-        self.fenced_out |= outcome == Outcome::Fenced;
-        let worker = self.worker_key(id).and_then(|key| self.workers.get_mut(key));
-        let run = worker.and_then(|worker| worker.runs.get_mut(&task)).filter(|run| run.number == number);
+    pub fn throttled(&mut self, throttle: &Throttle, outcome: Outcome) {
+        let key = self.worker_key(&throttle.target.worker);
+        let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) else { return };
+        let outdated = throttle.token < worker.token;
+        self.fenced_out |= outcome == Outcome::Fenced && !outdated;
+        let run = worker.runs.get_mut(&throttle.task).filter(|run| run.number == throttle.run);
         if let Some(run) = run {
-            run.speed_known &= outcome == Outcome::Taken;
+            run.speed_known &= outcome == Outcome::Taken && !outdated;
         }
     }
 }
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -251,7 +251,7 @@
                     "the CPU share of a run was changed"
                 );
                 self.notify_dispatcher(epoch, |d, _| {
-                    d.throttled(&throttle.target.worker, throttle.task, throttle.run, outcome);
+                    d.throttled(&throttle, outcome);
                 });
             }
             Command::AskPolicy(request) => match workers.advise(&request).await {
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::command::Command;
-use rattanfall_jobs::dispatch::event::{EndReason, WorkerRecord};
+use rattanfall_jobs::dispatch::command::{Command, Stop, Throttle};
+use rattanfall_jobs::dispatch::event::{EndReason, Outcome, WorkerRecord};
 use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
 use support::{World, cores, job, step};
@@ -325,3 +325,25 @@
     run_checked(&mut world, 15_000);
     assert_eq!(world.state(2), Some(JobState::Completed));
 }
+
+/// Guards against an owner that takes the refusal of an order to a former process for the sign of a newer owner.
+#[test]
+fn a_refused_order_to_the_former_process_is_no_sign_of_a_newer_owner() {
+    let mut world = World::new(1);
+    let worker = used_worker(&mut world);
+    world.submit(job(2, vec![step(1, cores(1), 5_000)]));
+    run_until_started(&mut world, 2);
+    let start = world.start_orders.last().expect("it was sent").1.clone();
+    let (target, token, task, run) = (start.target.clone(), start.token, start.task, start.run);
+    let stop = Stop { target: target.clone(), token, task, run };
+    let throttle = Throttle { target, token, task, run, percent: 50 };
+    let record = world.kill_worker(&worker);
+    world.restart_worker(record);
+    run_checked(&mut world, 1_000);
+    world.dispatcher.started(world.now, &start, Outcome::Fenced);
+    world.dispatcher.stopped(world.now, &stop, Outcome::Fenced);
+    world.dispatcher.throttled(&throttle, Outcome::Fenced);
+    assert!(!world.dispatcher.fenced_out());
+    run_checked(&mut world, 8_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -749,7 +749,7 @@
             Command::Throttle(throttle) => {
                 let outcome = self.throttle(&throttle);
                 self.throttles.push((now, throttle.clone()));
-                self.dispatcher.throttled(&throttle.target.worker, throttle.task, throttle.run, outcome);
+                self.dispatcher.throttled(&throttle, outcome);
             }
             Command::AskPolicy(request) => self.ask_policy(request),
             Command::Move(machine, pool) => {
