Repeat the start of a long-running task instead of stopping it

Cause: after three starts without an answer a run is stopped. The stop was not held against what the step tolerates, and was carried out when the task had begun by a late start.

Change: such starts are repeated until they are answered, listed, or given up with the worker's leases.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -13,7 +13,7 @@
 use crate::spec::Resources;
 use crate::table::Phase;
 
-/// Starts without an answer after which the run is stopped.
+/// Starts without an answer after which the run is stopped, unless it is long-running.
 const MAX_START_ATTEMPTS: u32 = 3;
 /// Failed connections after which a start that never reached the worker is given up.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
@@ -127,7 +127,8 @@
                 run.unanswered += 1;
                 run.next_order = Some(now + REPEAT_MS * u64::from(run.unanswered));
                 self.counters.repeats += 1;
-                if run.unanswered >= MAX_START_ATTEMPTS {
+                // A long-running task may be at work by then, and its step may tolerate no stop.
+                if run.unanswered >= MAX_START_ATTEMPTS && !run.long_running {
                     self.stop_run(now, key, task);
                 }
             }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -160,6 +160,8 @@
     pub(crate) orders_outlast: bool,
     /// Delay of new orders; none if they are carried out at once.
     pub(crate) delay: Option<u64>,
+    /// Delay of new starts, if it differs.
+    pub(crate) start_delay: Option<u64>,
     /// Starts that the owner's process can send in a round; none if there is no limit.
     pub(crate) send_limit: Option<usize>,
     /// Starts that were ordered and not sent yet.
@@ -326,6 +328,7 @@
             delayed: false,
             orders_outlast: false,
             delay: None,
+            start_delay: None,
             send_limit: None,
             intake_paused: false,
             deferred: BTreeSet::new(),
@@ -560,7 +563,8 @@
 
     /// Delays a command if delays are on. True if it gets no answer now.
     fn postpone(&mut self, command: &Command) -> bool {
-        let Some(delay) = self.delay else { return false };
+        let own = self.start_delay.filter(|_| matches!(command, Command::Start(_)));
+        let Some(delay) = own.or(self.delay) else { return false };
         // No order reaches a worker that is down.
         let worker = order_target(command).and_then(|id| self.workers.get(id));
         if worker.is_some_and(|worker| !self.orders_outlast || !worker.partitioned) {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -136,6 +136,20 @@
     assert!(world.dispatcher.fenced_out());
 }
 
+/// Guards against the stop of a long-running task, beyond what its step tolerates, because three answers to its start are missing.
+#[test]
+fn a_long_running_task_is_not_stopped_for_missing_answers_to_its_start() {
+    let mut world = World::new(2);
+    world.run_for(1_500);
+    world.submit(job(1, vec![Step { long_running: true, ..step(2, cores(1), 700) }]));
+    world.start_delay = Some(1_500);
+    world.run_for(1_400);
+    world.start_delay = None;
+    world.run_for(5_000);
+    assert_eq!(world.stops, []);
+    assert_eq!(world.at_work(1), 2);
+}
+
 /// Guards against a second run beside one whose first start had no answer: a repeat of it, under way when the worker listed
 /// the run, was refused.
 #[rstest]
