Finish an order to move a machine whenever the list shows it as done

Callers would see a pool that lacks a machine for good.

Cause: an order that is repeated while its machine has runs goes back to emptying. If the move had been carried out, a list showed that, but only orders that waited for a repeat were finished by the list. The next worker was emptied, with lasting tasks for good.

Evidence: machine_orders::a_move_that_was_carried_out_does_not_empty_the_next_worker failed: emptied for 20,000 of 20,000 ms.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -320,7 +320,9 @@
         order.begun |= sent && upkeep && status.state == MachineState::Upkeep;
         let done = match (order.stage, &order.goal) {
             (Stage::Taken(at), _) => at < asked,
-            (Stage::Waiting(_), Goal::Pool(pool)) => status.pool == *pool,
+            (Stage::Emptying(_) | Stage::Ordered | Stage::Waiting(_), Goal::Pool(pool)) => {
+                status.pool == *pool
+            }
             _ => false,
         };
         if done && status.state == MachineState::Up {
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use rattanfall_jobs::dispatch::options::Options;
+use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
 use support::{MachineFault, ROUND_MS, World, catalog, cores, job, step};
@@ -118,3 +119,36 @@
     run_checked(&mut world, 20_000);
     assert!((1..=6).all(|id| world.state(id) == Some(JobState::Completed)));
 }
+
+/// Guards against a machine that stays out of service, because a list shows its move as done while the order is being repeated.
+#[test]
+fn a_move_that_was_carried_out_does_not_empty_the_next_worker() {
+    let mut world = world(1, 3);
+    world.set_options(Options { list_ms: 60_000, list_busy_ms: 60_000, ..Options::default() });
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.moves.clear();
+    for id in 1..=8 {
+        world.submit(job(id, vec![Step { long_running: true, ..step(4, cores(2), 700) }]));
+    }
+    run_until(&mut world, "move", |world| !world.moves.is_empty());
+    let machine = world.moves[0].1.clone();
+    run_until(&mut world, "next worker", |world| world.machines[&machine].0.worker.is_some());
+    world.run_for(1_000);
+    let worker = world.worker_on(&machine);
+    assert!(!world.workers[&worker].runs.is_empty(), "it has no runs");
+    // The repeat waits for the store.
+    world.down = true;
+    world.run_for(600);
+    let listed = world.machines.values().map(|(machine, _)| machine.clone()).collect();
+    world.dispatcher.set_machines(world.now, world.now, listed);
+    world.down = false;
+    world.machine_fault = None;
+    world.set_options(Options::default());
+    let mut rounds = 0;
+    for _ in 0..2_000 {
+        world.round();
+        let emptied = world.dispatcher.workers().any(|known| known.record.worker == worker && known.emptying);
+        rounds += u64::from(emptied);
+    }
+    assert!(rounds * ROUND_MS < 2_000, "emptied for {} ms", rounds * ROUND_MS);
+}
