Let a list of machines end only runs that were placed before it was asked for

Callers would see a task at work on two workers at once.

Cause: a worker that does not answer and is on no listed machine has ended. The list may be older than the run: asked for while the worker was down, and answered seconds later, when the next process under the same id had taken a task.

Evidence: restarts::an_old_list_of_machines_ends_no_run_that_was_placed_after_it failed: two runs of the task at 60,950 ms.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -13,7 +13,7 @@
 use super::super::Dispatcher;
 use super::super::command::Command;
 use super::super::event::{Machine, MachineState};
-use super::super::worker::{Worker, WorkerKey};
+use super::super::worker::{Run, Worker, WorkerKey};
 use crate::ports::MachineOutcome;
 use crate::record::LastOrder;
 use crate::table::Placement;
@@ -153,7 +153,8 @@
         let keys: Vec<WorkerKey> =
             self.workers.iter().filter(|(_, worker)| gone(worker)).map(|(key, _)| key).collect();
         for key in keys {
-            self.mark_some_lost(key, "the machine no longer runs the worker", |run| !run.may_start());
+            let lost = |run: &Run| !run.may_start() && run.placed < asked;
+            self.mark_some_lost(key, "the machine no longer runs the worker", lost);
         }
     }
 
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -5,6 +5,7 @@
 
 use rattanfall_jobs::dispatch::command::{Command, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{EndReason, Outcome, WorkerRecord};
+use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
 use support::{World, cores, job, step};
@@ -347,3 +348,25 @@
     run_checked(&mut world, 8_000);
     assert_eq!(world.state(2), Some(JobState::Completed));
 }
+
+/// Guards against a list of machines, asked for before a worker restarted, that ends a run of the new process.
+#[test]
+fn an_old_list_of_machines_ends_no_run_that_was_placed_after_it() {
+    let (mut world, worker, other) = single_reachable();
+    world.set_options(Options { list_ms: 60_000, list_busy_ms: 60_000, ..Options::default() });
+    world.submit(job(1, vec![step(1, cores(1), 200)]));
+    while world.workers[&worker].ended.is_empty() {
+        run_checked(&mut world, support::ROUND_MS);
+    }
+    let record = world.kill_worker(&worker);
+    let asked = world.now;
+    let listed = world.machines.values().map(|(machine, _)| machine.clone()).collect();
+    world.restart_worker(record);
+    world.submit(job(2, vec![step(1, cores(1), 5_000)]));
+    run_until_started(&mut world, 2);
+    set_partitioned(&mut world, &worker, true);
+    set_partitioned(&mut world, &other, false);
+    run_checked(&mut world, 700);
+    world.dispatcher.set_machines(world.now, asked, listed);
+    run_checked(&mut world, 4_000);
+}
