Hold an answer from another worker against the address and the process it was asked at

Callers would see a task at work on two workers at once.

Cause: the answer that another worker has an address ended all runs of the worker that the order named, also if that worker had restarted or had another address by then.

Change: the answer counts only for the address and the token that the worker has now. Otherwise the order is repeated. The answer to a poll that was sent to a former address is ignored.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -5,9 +5,9 @@
 //! start from then on.
 
 use super::super::Dispatcher;
-use super::super::command::{Command, Start, Stop};
+use super::super::command::{Command, Start, Stop, Target};
 use super::super::event::Outcome;
-use super::super::worker::WorkerKey;
+use super::super::worker::{Worker, WorkerKey};
 use super::polls::target;
 use crate::ids::TaskId;
 use crate::spec::Resources;
@@ -98,6 +98,9 @@
     pub fn started(&mut self, now: u64, start: &Start, outcome: Outcome) {
         let (id, task, number) = (start.target.worker.as_str(), start.task, start.run);
         let Some(key) = self.worker_key(id) else { return };
+        if outcome == Outcome::Replaced && self.end_replaced(key, &start.target, start.token) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let outdated = start.token < worker.token;
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
@@ -121,7 +124,10 @@
             // The present process refuses orders to a former one; its list of runs tells what that one had begun.
             Outcome::Fenced if outdated => {}
             Outcome::Fenced => self.fenced_out = true,
-            Outcome::Replaced => self.mark_runs_lost(key, "another worker has the address"),
+            Outcome::Replaced => {
+                run.next_order = Some(now + REPEAT_MS);
+                self.unsettled.insert((key, task));
+            }
             Outcome::Unknown => {
                 self.unsettled.insert((key, task));
                 run.unanswered += 1;
@@ -203,10 +209,7 @@
                 self.fenced_out = true;
                 return;
             }
-            Outcome::Replaced => {
-                self.mark_runs_lost(key, "another worker has the address");
-                return;
-            }
+            Outcome::Replaced if self.end_replaced(key, &stop.target, stop.token) => return,
             _ => {}
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -219,6 +222,17 @@
         }
     }
 
+    /// Counts the runs of a worker as lost, since another worker has the address to which an order was sent. False if the
+    /// worker has restarted or has another address by now, so that the answer proves nothing.
+    fn end_replaced(&mut self, key: WorkerKey, sent: &Target, token: u64) -> bool {
+        let current = |worker: &Worker| worker.token == token && worker.record.address == sent.address;
+        let replaced = self.workers.get(key).is_some_and(current);
+        if replaced {
+            self.mark_runs_lost(key, "another worker has the address");
+        }
+        replaced
+    }
+
     /// Repeats the orders that are due.
     pub(in super::super) fn send_due_orders(&mut self, now: u64) {
         let workers = &self.workers;
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -51,6 +51,9 @@
         if old != 0 && new != 0 && new < old && worker.contact.is_some() {
             return;
         }
+        if worker.record.address != record.address {
+            worker.disown_poll();
+        }
         if worker.record.address != record.address || !worker.listed {
             worker.poll_soon(now);
         }
@@ -169,9 +172,10 @@
         let held = std::mem::take(&mut worker.poll_held);
         let wait_ms = if held { self.options.poll_wait_ms } else { 0 };
         match answer {
+            Ok(_) if token != worker.token => worker.poll_soon(now),
             Ok(status) => self.apply_status(now, sent, wait_ms, key, status),
             Err(Outcome::Fenced) if token == worker.token => self.fenced_out = true,
-            Err(Outcome::Replaced) => {
+            Err(Outcome::Replaced) if token == worker.token => {
                 self.mark_runs_lost(key, "another worker has the address");
                 if let Some(worker) = self.workers.get_mut(key) {
                     worker.listed = false;
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -308,6 +308,13 @@
         }
     }
 
+    /// Has the answer to the poll under way ignored, since it is sent to a former address.
+    pub const fn disown_poll(&mut self) {
+        if let PollState::Waiting(_, token) = &mut self.poll_state {
+            *token = 0;
+        }
+    }
+
     /// Placement of a task on its newest process.
     #[must_use]
     pub fn placement(&self) -> Placement {
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -370,3 +370,30 @@
     world.dispatcher.set_machines(world.now, asked, listed);
     run_checked(&mut world, 4_000);
 }
+
+/// Guards against an answer from the former address of a worker that ends its runs at the present one.
+#[test]
+fn a_refusal_from_a_former_address_ends_no_run() {
+    let mut world = World::new(2);
+    world.run_for(1_000);
+    world.submit(job(1, vec![step(4, cores(8), 5_000)]));
+    run_checked(&mut world, 500);
+    let start = world.start_orders[0].1.clone();
+    let worker = start.target.worker.clone();
+    let stop = Stop { target: start.target.clone(), token: start.token, task: start.task, run: start.run };
+    let record = world.kill_worker(&worker);
+    world.restart_worker(WorkerRecord { address: "elsewhere".into(), ..record });
+    run_checked(&mut world, 2_000);
+    let runs = |world: &World| {
+        world
+            .dispatcher
+            .workers()
+            .find(|known| known.record.worker == worker)
+            .map_or(0, |known| known.runs.len())
+    };
+    let before = runs(&world);
+    assert!(before > 0, "it has no runs");
+    world.dispatcher.stopped(world.now, &stop, Outcome::Replaced);
+    world.dispatcher.started(world.now, &start, Outcome::Replaced);
+    assert_eq!(runs(&world), before);
+}
