Keep a worker while a poll of it is under way

Callers would see the owner give all work up, or a start on a worker that still accepts orders of former owners.

Cause: a worker that left the directory and has no runs is forgotten. If it comes back before a poll has its answer, it has a new token, and the answer to the former poll counted as one to the next poll.

Evidence: restarts::a_worker_is_not_forgotten_while_a_poll_is_under_way failed: the worker did not count as fenced by the token that it had seen.

--- a/crates/jobs/src/dispatch/systems/leases.rs
+++ b/crates/jobs/src/dispatch/systems/leases.rs
@@ -2,7 +2,7 @@
 //! be active.
 
 use super::super::Dispatcher;
-use super::super::worker::WorkerKey;
+use super::super::worker::{PollState, WorkerKey};
 
 impl Dispatcher {
     /// Requeues the tasks of workers that do not answer and whose leases have expired, and forgets workers
@@ -18,8 +18,10 @@
             self.mark_runs_lost(key, "the worker's leases have expired");
         }
         let known = self.workers.len();
-        self.workers
-            .retain(|_, w| w.listed || !w.runs.is_empty() || w.missed_polls == 0 && w.pending_ack.is_some());
+        self.workers.retain(|_, w| {
+            let polled = matches!(w.poll_state, PollState::Waiting(..));
+            w.listed || polled || !w.runs.is_empty() || w.missed_polls == 0 && w.pending_ack.is_some()
+        });
         if self.workers.len() < known {
             let workers = &self.workers;
             self.keys_by_id.retain(|_, key| workers.contains_key(*key));
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::command::{Command, Stop, Throttle};
+use rattanfall_jobs::dispatch::command::{Command, Poll, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{EndReason, Outcome, WorkerRecord};
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::{Resources, Step};
@@ -397,3 +397,34 @@
     world.dispatcher.started(world.now, &start, Outcome::Replaced);
     assert_eq!(runs(&world), before);
 }
+
+/// Guards against a worker that counts as fenced by the answer to a poll from before it was forgotten.
+#[test]
+fn a_worker_is_not_forgotten_while_a_poll_is_under_way() {
+    let mut world = World::new(1);
+    let first = next_poll(&mut world);
+    let record = world.workers[&first.target.worker].record.clone();
+    world.dispatcher.unlist_worker(&first.target.worker);
+    world.dispatcher.tick(world.now + 1);
+    world.dispatcher.update_worker(world.now + 1, record);
+    let answer = world.poll(&first);
+    world.dispatcher.polled(world.now + 2, &first.target.worker, answer);
+    let known = world.dispatcher.workers().next().expect("it is listed");
+    assert!(known.fenced);
+    assert_eq!(known.token, world.workers[&first.target.worker].token);
+}
+
+/// Runs the dispatcher without the workers until it sends a poll.
+fn next_poll(world: &mut World) -> Poll {
+    for _ in 0..200 {
+        world.now += support::ROUND_MS;
+        world.dispatcher.contacted(world.now);
+        world.dispatcher.tick(world.now);
+        for command in world.dispatcher.take_commands() {
+            if let Command::Poll(poll) = command {
+                return poll;
+            }
+        }
+    }
+    panic!("no poll was sent");
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -827,7 +827,7 @@
         self.dispatcher.machine_ordered(now, name, outcome);
     }
 
-    fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
+    pub(crate) fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
         let now = self.now;
         let metrics = &self.metrics;
         let received = self.delayed && self.orders_outlast;
