--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -5,14 +5,15 @@
 //! start from then on.
 
 use super::super::Dispatcher;
-use super::super::command::{Command, Start, Stop};
+use super::super::command::{Command, Start, Stop, Target};
 use super::super::event::Outcome;
-use super::super::worker::WorkerKey;
+use super::super::worker::{Worker, WorkerKey};
 use super::polls::target;
 use crate::ids::TaskId;
+use crate::spec::Resources;
 use crate::table::Phase;
 
-/// Starts without an answer after which the run is stopped.
+/// Starts without an answer after which the run is stopped, unless it is long-running.
 const MAX_START_ATTEMPTS: u32 = 3;
 /// Failed connections after which a start that never reached the worker is given up.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
@@ -36,13 +37,16 @@
         let step = job.submission.steps.get(usize::from(task.step));
         let Some(worker) = self.workers.get(key) else { return };
         let suits = step.is_some_and(|step| worker.suits(step));
+        // The limit may have been lowered since the task was placed.
+        let over = !self.within_limit(task, Resources::default());
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let closed = worker.record.draining || self.evacuated.contains(&worker.record.zone);
+        let closed = over || worker.record.draining || self.evacuated.contains(&worker.record.zone);
         let clock = worker.clock_at(at, self.options.poll_wait_ms);
         let target = target(worker);
         let Some(run) = worker.runs.get_mut(&task).filter(|run| !run.stopping) else { return };
         if closed && !run.sent {
-            self.requeue(key, task, "the worker takes no new tasks");
+            let why = if over { "its team is over its limit" } else { "the worker takes no new tasks" };
+            self.requeue(key, task, why);
             return;
         }
         if closed && run.confirmed.is_some() {
@@ -52,7 +56,7 @@
         // The worker may have restarted as another kind since the start was first sent.
         if closed || clock.is_some() && !suits {
             log::info!(
-                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed;
+                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed, over = over;
                 "the worker no longer takes the task; its start is not repeated"
             );
             self.stop_run(now, key, task);
@@ -94,6 +98,9 @@
     pub fn started(&mut self, now: u64, start: &Start, outcome: Outcome) {
         let (id, task, number) = (start.target.worker.as_str(), start.task, start.run);
         let Some(key) = self.worker_key(id) else { return };
+        if outcome == Outcome::Replaced && self.end_replaced(key, &start.target, start.token) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let outdated = start.token < worker.token;
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
@@ -117,13 +124,17 @@
             // The present process refuses orders to a former one; its list of runs tells what that one had begun.
             Outcome::Fenced if outdated => {}
             Outcome::Fenced => self.fenced_out = true,
-            Outcome::Replaced => self.mark_runs_lost(key, "another worker has the address"),
+            Outcome::Replaced => {
+                run.next_order = Some(now + REPEAT_MS);
+                self.unsettled.insert((key, task));
+            }
             Outcome::Unknown => {
                 self.unsettled.insert((key, task));
                 run.unanswered += 1;
                 run.next_order = Some(now + REPEAT_MS * u64::from(run.unanswered));
                 self.counters.repeats += 1;
-                if run.unanswered >= MAX_START_ATTEMPTS {
+                // A long-running task may be at work by then, and its step may tolerate no stop.
+                if run.unanswered >= MAX_START_ATTEMPTS && !run.long_running {
                     self.stop_run(now, key, task);
                 }
             }
@@ -198,10 +209,7 @@
                 self.fenced_out = true;
                 return;
             }
-            Outcome::Replaced => {
-                self.mark_runs_lost(key, "another worker has the address");
-                return;
-            }
+            Outcome::Replaced if self.end_replaced(key, &stop.target, stop.token) => return,
             _ => {}
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -214,6 +222,17 @@
         }
     }
 
+    /// Counts the runs of a worker as lost, since another worker has the address to which an order was sent. False if the
+    /// worker has restarted or has another address by now, so that the answer proves nothing.
+    fn end_replaced(&mut self, key: WorkerKey, sent: &Target, token: u64) -> bool {
+        let current = |worker: &Worker| worker.token == token && worker.record.address == sent.address;
+        let replaced = self.workers.get(key).is_some_and(current);
+        if replaced {
+            self.mark_runs_lost(key, "another worker has the address");
+        }
+        replaced
+    }
+
     /// Repeats the orders that are due.
     pub(in super::super) fn send_due_orders(&mut self, now: u64) {
         let workers = &self.workers;
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::command::Command;
-use rattanfall_jobs::dispatch::event::{EndReason, WorkerRecord};
+use rattanfall_jobs::dispatch::command::{Command, Poll, Stop, Throttle};
+use rattanfall_jobs::dispatch::event::{EndReason, Outcome, WorkerRecord};
+use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
 use support::{World, cores, job, step};
@@ -325,3 +326,105 @@
     run_checked(&mut world, 15_000);
     assert_eq!(world.state(2), Some(JobState::Completed));
 }
+
+/// Guards against an owner that takes the refusal of an order to a former process for the sign of a newer owner.
+#[test]
+fn a_refused_order_to_the_former_process_is_no_sign_of_a_newer_owner() {
+    let mut world = World::new(1);
+    let worker = used_worker(&mut world);
+    world.submit(job(2, vec![step(1, cores(1), 5_000)]));
+    run_until_started(&mut world, 2);
+    let start = world.start_orders.last().expect("it was sent").1.clone();
+    let (target, token, task, run) = (start.target.clone(), start.token, start.task, start.run);
+    let stop = Stop { target: target.clone(), token, task, run };
+    let throttle = Throttle { target, token, task, run, percent: 50 };
+    let record = world.kill_worker(&worker);
+    world.restart_worker(record);
+    run_checked(&mut world, 1_000);
+    world.dispatcher.started(world.now, &start, Outcome::Fenced);
+    world.dispatcher.stopped(world.now, &stop, Outcome::Fenced);
+    world.dispatcher.throttled(&throttle, Outcome::Fenced);
+    assert!(!world.dispatcher.fenced_out());
+    run_checked(&mut world, 8_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
+
+/// Guards against a list of machines, asked for before a worker restarted, that ends a run of the new process.
+#[test]
+fn an_old_list_of_machines_ends_no_run_that_was_placed_after_it() {
+    let (mut world, worker, other) = single_reachable();
+    world.set_options(Options { list_ms: 60_000, list_busy_ms: 60_000, ..Options::default() });
+    world.submit(job(1, vec![step(1, cores(1), 200)]));
+    while world.workers[&worker].ended.is_empty() {
+        run_checked(&mut world, support::ROUND_MS);
+    }
+    let record = world.kill_worker(&worker);
+    let asked = world.now;
+    let listed = world.machines.values().map(|(machine, _)| machine.clone()).collect();
+    world.restart_worker(record);
+    world.submit(job(2, vec![step(1, cores(1), 5_000)]));
+    run_until_started(&mut world, 2);
+    set_partitioned(&mut world, &worker, true);
+    set_partitioned(&mut world, &other, false);
+    run_checked(&mut world, 700);
+    world.dispatcher.set_machines(world.now, asked, listed);
+    run_checked(&mut world, 4_000);
+}
+
+/// Guards against an answer from the former address of a worker that ends its runs at the present one.
+#[test]
+fn a_refusal_from_a_former_address_ends_no_run() {
+    let mut world = World::new(2);
+    world.run_for(1_000);
+    world.submit(job(1, vec![step(4, cores(8), 5_000)]));
+    run_checked(&mut world, 500);
+    let start = world.start_orders[0].1.clone();
+    let worker = start.target.worker.clone();
+    let stop = Stop { target: start.target.clone(), token: start.token, task: start.task, run: start.run };
+    let record = world.kill_worker(&worker);
+    world.restart_worker(WorkerRecord { address: "elsewhere".into(), ..record });
+    run_checked(&mut world, 2_000);
+    let runs = |world: &World| {
+        world
+            .dispatcher
+            .workers()
+            .find(|known| known.record.worker == worker)
+            .map_or(0, |known| known.runs.len())
+    };
+    let before = runs(&world);
+    assert!(before > 0, "it has no runs");
+    world.dispatcher.stopped(world.now, &stop, Outcome::Replaced);
+    world.dispatcher.started(world.now, &start, Outcome::Replaced);
+    assert_eq!(runs(&world), before);
+}
+
+/// Guards against a worker that counts as fenced by the answer to a poll from before it was forgotten.
+#[test]
+fn a_worker_is_not_forgotten_while_a_poll_is_under_way() {
+    let mut world = World::new(1);
+    let first = next_poll(&mut world);
+    let record = world.workers[&first.target.worker].record.clone();
+    world.dispatcher.unlist_worker(&first.target.worker);
+    world.dispatcher.tick(world.now + 1);
+    world.dispatcher.update_worker(world.now + 1, record);
+    let answer = world.poll(&first);
+    world.dispatcher.polled(world.now + 2, &first.target.worker, answer);
+    let known = world.dispatcher.workers().next().expect("it is listed");
+    assert!(known.fenced);
+    assert_eq!(known.token, world.workers[&first.target.worker].token);
+}
+
+/// Runs the dispatcher without the workers until it sends a poll.
+fn next_poll(world: &mut World) -> Poll {
+    for _ in 0..200 {
+        world.now += support::ROUND_MS;
+        world.dispatcher.contacted(world.now);
+        world.dispatcher.tick(world.now);
+        for command in world.dispatcher.take_commands() {
+            if let Command::Poll(poll) = command {
+                return poll;
+            }
+        }
+    }
+    panic!("no poll was sent");
+}
