Match the answer to a machine's order by the number of the order

Cause: the answer to an order to a machine was matched by the name of the machine alone. The list of machines can show a move as done while its last repeat has no answer yet; the machine then gets an order for upkeep, and the late answer to the move marks that upkeep as begun. A late refusal would leave the machine out of the wave.

Evidence: machine_orders::a_late_answer_to_a_move_does_not_count_as_one_to_the_upkeep failed on the logic before: "left: Some(true), right: Some(false)" for the published state while no upkeep had been carried out.

Change: each order has a number, which the command, its answer and the write that it waits for carry. An answer, and the sending of a stored order, count only for the order that the machine still has. An answer that has no effect is logged, too.

Result: the test holds.

--- a/crates/jobs/src/dispatch/command/mod.rs
+++ b/crates/jobs/src/dispatch/command/mod.rs
@@ -89,6 +89,15 @@
     pub timeout_ms: u64,
 }
 
+/// Identity of an order to a machine. By the time an answer comes, the machine may have another order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MachineOrder {
+    /// Name of the machine.
+    pub machine: String,
+    /// Number of the order among those of this owner, from 1; a repeat has the same number.
+    pub number: u64,
+}
+
 /// Request of the dispatcher; its outcome is reported back as an event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
@@ -102,10 +111,10 @@
     Throttle(Throttle),
     /// Ask the queues' policy which workers may run a step.
     AskPolicy(PolicyRequest),
-    /// Move a machine to a pool: machine and pool.
-    Move(String, String),
-    /// Maintain a machine as part of a wave: machine and number of the wave.
-    Maintain(String, u64),
+    /// Move a machine to a pool: order and pool.
+    Move(MachineOrder, String),
+    /// Maintain a machine as part of a wave: order and number of the wave.
+    Maintain(MachineOrder, u64),
     /// Publish the state of a wave: its number, and true if it is complete.
     Publish(u64, bool),
 }
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -24,7 +24,7 @@
 use crate::record::{self, Entry, next_epoch};
 use crate::spec::Resources;
 use crate::table::{Phase, Table};
-use command::Command;
+use command::{Command, MachineOrder};
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
 use parts::StoredParts;
@@ -130,10 +130,10 @@
     /// True if the owner's record is to be written again. The store refuses that write if there is a newer
     /// owner.
     owner_dirty: bool,
-    /// Machines whose last order is not part of a write yet.
-    dirty_orders: BTreeSet<String>,
-    /// Machines whose order is sent once a write is stored.
-    unstored_orders: VecDeque<(WriteNumber, String)>,
+    /// Machines whose last order is not part of a write yet, with the number of that order.
+    dirty_orders: BTreeMap<String, u64>,
+    /// Orders to machines that are sent once a write is stored.
+    unstored_orders: VecDeque<(WriteNumber, MachineOrder)>,
     /// Placed tasks whose start is sent once a write is stored, with the number of the run.
     unstored_starts: VecDeque<(WriteNumber, TaskId, u32, WorkerKey)>,
     /// Tasks placed since the last write was created, with the number of the run.
@@ -221,7 +221,7 @@
             stale_jobs: StaleJobs::default(),
             dirty_waves: BTreeSet::new(),
             owner_dirty: false,
-            dirty_orders: BTreeSet::new(),
+            dirty_orders: BTreeMap::new(),
             unstored_orders: VecDeque::new(),
             unstored_starts: VecDeque::new(),
             new_placements: Vec::new(),
@@ -403,10 +403,10 @@
                 entries.push(record::wave(number, wave));
             }
         }
-        for machine in std::mem::take(&mut self.dirty_orders) {
+        for (machine, number) in std::mem::take(&mut self.dirty_orders) {
             if let Some(order) = self.table.orders.get(&machine) {
                 entries.push(record::order(&machine, order));
-                self.unstored_orders.push_back((self.last_write, machine));
+                self.unstored_orders.push_back((self.last_write, MachineOrder { machine, number }));
             }
         }
         for (task, run, key) in std::mem::take(&mut self.new_placements) {
@@ -436,8 +436,8 @@
             }
         }
         while self.unstored_orders.front().is_some_and(|(number, _)| *number <= write.number) {
-            if let Some((_, machine)) = self.unstored_orders.pop_front() {
-                self.send_order(now, &machine);
+            if let Some((_, order)) = self.unstored_orders.pop_front() {
+                self.send_order(now, order);
             }
         }
         for worker in self.workers.values_mut() {
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::super::Dispatcher;
-use super::super::command::Command;
+use super::super::command::{Command, MachineOrder};
 use super::super::event::{Machine, MachineState};
 use super::super::worker::{Run, Worker, WorkerKey};
 use crate::ports::MachineOutcome;
@@ -61,6 +61,8 @@
 /// Order to a machine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(in super::super) struct Order {
+    /// Number of the order among those of this owner, from 1.
+    number: u64,
     pub(super) goal: Goal,
     pub(super) stage: Stage,
     /// Process of the worker that was emptied for it; none before, or if there is no worker.
@@ -70,11 +72,6 @@
 }
 
 impl Order {
-    /// Order whose machine is emptied from now on.
-    pub(super) const fn new(now: u64, goal: Goal) -> Self {
-        Self { goal, stage: Stage::Emptying(now), emptied: None, begun: false }
-    }
-
     /// Id of the worker that was emptied for it; empty if there is none.
     fn emptied_worker(&self) -> &str {
         self.emptied.as_ref().map_or("", |place| place.worker.as_str())
@@ -101,10 +98,23 @@
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) demand: BTreeMap<String, Demand>,
     last_plan: u64,
+    /// Number of the last order.
+    last_order: u64,
     /// Time at which the last list of machines was requested.
     list_asked: Option<u64>,
 }
 
+impl Fleet {
+    /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
+    pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
+        let row = self.rows.get_mut(name)?;
+        self.last_order += 1;
+        let (number, stage) = (self.last_order, Stage::Emptying(now));
+        row.order = Some(Order { number, goal, stage, emptied: None, begun: false });
+        Some(&row.machine)
+    }
+}
+
 impl Dispatcher {
     /// True if the list of machines should be read now.
     #[must_use]
@@ -212,30 +222,35 @@
             order.emptied = place;
         }
         order.stage = Stage::Ordered;
+        let number = order.number;
         let instance = self.table.owner.instance().to_owned();
         self.table.orders.insert(name.to_owned(), LastOrder { at: self.wall_clock, instance });
-        self.dirty_orders.insert(name.to_owned());
+        self.dirty_orders.insert(name.to_owned(), number);
     }
 
-    /// Sends the order of a machine, or empties the machine again if its worker has got runs since.
-    pub(in super::super) fn send_order(&mut self, now: u64, name: &str) {
+    /// Sends an order, or empties the machine again if its worker has got runs since. An order that the machine no longer
+    /// has is not sent.
+    pub(in super::super) fn send_order(&mut self, now: u64, sent: MachineOrder) {
+        let name = sent.machine.as_str();
         let Some(row) = self.fleet.rows.get(name) else { return };
         let worker = self.machine_worker(row).and_then(|key| self.workers.get(key));
         let busy = worker.is_some_and(|worker| !worker.runs.is_empty());
-        let Some(order) = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut()) else { return };
+        let order = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut());
+        let Some(order) = order.filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
         if busy && !order.begun {
             log::info!(machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
             order.stage = Stage::Emptying(now);
             return;
         }
-        let command = match &order.goal {
-            Goal::Upkeep(wave) => Command::Maintain(name.to_owned(), *wave),
-            Goal::Pool(pool) => Command::Move(name.to_owned(), pool.clone()),
-        };
         log::info!(
-            machine = name, goal:? = order.goal, emptied = order.emptied_worker(); "the order is sent to the machine"
+            machine = name, order = sent.number, goal:? = order.goal, emptied = order.emptied_worker();
+            "the order is sent to the machine"
         );
+        let command = match &order.goal {
+            Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
+            Goal::Pool(pool) => Command::Move(sent, pool.clone()),
+        };
         self.commands.push(command);
     }
 
@@ -256,14 +271,24 @@
         if own { handover_until.min(now + OWN_HANDOVER_MS) } else { handover_until }
     }
 
-    /// Handles the outcome of an order to a machine.
-    pub fn machine_ordered(&mut self, now: u64, name: &str, outcome: MachineOutcome) {
-        let Some(row) = self.fleet.rows.get_mut(name) else { return };
-        let emptied = row.order.as_ref().map_or("", Order::emptied_worker);
-        let listed = row.machine.worker.as_deref().unwrap_or_default();
+    /// Handles the outcome of an order to a machine. The list may have shown a former order as carried out before its last
+    /// repeat is answered, so the answer counts only if the machine still has that order.
+    pub fn machine_ordered(&mut self, now: u64, answered: &MachineOrder, outcome: MachineOutcome) {
+        let name = answered.machine.as_str();
+        let row = self.fleet.rows.get(name);
+        let present = row.and_then(|row| row.order.as_ref()).filter(|order| order.number == answered.number);
+        let listed = row.and_then(|row| row.machine.worker.as_deref()).unwrap_or_default();
         log::info!(
-            machine = name, outcome:? = outcome, emptied = emptied, listed = listed; "the machine order was answered"
+            machine = name, order = answered.number, outcome:? = outcome, present = present.is_some(),
+            emptied = present.map_or("", Order::emptied_worker), listed = listed; "the machine order was answered"
         );
+        if outcome == MachineOutcome::Fenced {
+            self.fenced_out = true;
+        }
+        if present.is_none() {
+            return;
+        }
+        let Some(row) = self.fleet.rows.get_mut(name) else { return };
         let Some(order) = &mut row.order else { return };
         match outcome {
             MachineOutcome::Taken => {
@@ -302,7 +327,7 @@
                     row.blocked_until = now + 4 * BUSY_BACKOFF_MS;
                 }
             }
-            MachineOutcome::Fenced => self.fenced_out = true,
+            MachineOutcome::Fenced => {}
         }
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/moves.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/moves.rs
@@ -170,9 +170,8 @@
     }
 
     fn start_move(&mut self, now: u64, name: &str, pool: &str) {
-        if let Some(row) = self.fleet.rows.get_mut(name) {
-            log::info!(machine = name, from = row.machine.pool.as_str(), to = pool; "the machine changes its pool");
-            row.order = Some(Order::new(now, Goal::Pool(pool.to_owned())));
+        if let Some(machine) = self.fleet.give_order(now, name, Goal::Pool(pool.to_owned())) {
+            log::info!(machine = name, from = machine.pool.as_str(), to = pool; "the machine changes its pool");
         }
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -8,7 +8,7 @@
 use super::super::super::Dispatcher;
 use super::super::super::command::Command;
 use super::super::super::event::{self, MachineState};
-use super::{Goal, MachineRow, Order};
+use super::{Goal, MachineRow};
 
 /// Time from the start of emptying a machine until it serves again, without the upkeep itself, in
 /// milliseconds.
@@ -126,9 +126,8 @@
             if cost > 0 && !urgent && !self.pool_can_spare(now, &pool) {
                 continue;
             }
-            if let Some(row) = self.fleet.rows.get_mut(&name) {
+            if self.fleet.give_order(now, &name, goal.clone()).is_some() {
                 log::info!(machine = name.as_str(), wave = number, cost = cost, pressing = urgent; "the machine is emptied for upkeep");
-                row.order = Some(Order::new(now, goal.clone()));
                 slots -= 1;
             }
         }
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -260,13 +260,13 @@
                 }),
                 None => self.notify_dispatcher(epoch, |d, now| d.policy_unanswered(now, request.step)),
             },
-            Command::Move(machine, pool) => {
-                let outcome = self.platform.machines().move_to(&machine, &pool, epoch).await;
-                self.notify_dispatcher(epoch, |d, now| d.machine_ordered(now, &machine, outcome));
+            Command::Move(order, pool) => {
+                let outcome = self.platform.machines().move_to(&order.machine, &pool, epoch).await;
+                self.notify_dispatcher(epoch, |d, now| d.machine_ordered(now, &order, outcome));
             }
-            Command::Maintain(machine, wave) => {
-                let outcome = self.platform.machines().maintain(&machine, wave, epoch).await;
-                self.notify_dispatcher(epoch, |d, now| d.machine_ordered(now, &machine, outcome));
+            Command::Maintain(order, wave) => {
+                let outcome = self.platform.machines().maintain(&order.machine, wave, epoch).await;
+                self.notify_dispatcher(epoch, |d, now| d.machine_ordered(now, &order, outcome));
             }
             Command::Publish(wave, complete) => {
                 let entry = self.platform.wave_report(wave, complete);
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -152,3 +152,30 @@
     }
     assert!(rounds * ROUND_MS < 2_000, "emptied for {} ms", rounds * ROUND_MS);
 }
+
+/// Guards against a wave that is shown as completed although a machine of it got no upkeep: the answer to the move before was taken
+/// for one to the order for upkeep.
+#[test]
+fn a_late_answer_to_a_move_does_not_count_as_one_to_the_upkeep() {
+    let mut world = world(1, 3);
+    world.moves.clear();
+    world.machine_fault = Some(MachineFault::HoldsAnswers);
+    for id in 1..=8 {
+        world.submit(job(id, vec![step(8, cores(2), 2_000)]));
+    }
+    run_until(&mut world, "move", |world| !world.moves.is_empty());
+    let machine = world.moves[0].1.clone();
+    run_checked(&mut world, 3_000);
+    assert!(world.workers.values().any(|worker| worker.machine == machine), "the move is not done");
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.plan_wave(&[&machine], 1, 5_000);
+    run_checked(&mut world, 1_000);
+    world.deliver_answers();
+    run_checked(&mut world, 4_000);
+    assert_eq!(world.upkeeps, []);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machine_fault = None;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
-use rattanfall_jobs::dispatch::command::{Command, PolicyRequest, Poll, Start, Stop, Throttle};
+use rattanfall_jobs::dispatch::command::{Command, MachineOrder, PolicyRequest, Poll, Start, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{
     EndReason, EndedRun, Machine, MachineState, Outcome, RunStatus, Wave, WorkerRecord, WorkerStatus,
 };
@@ -102,6 +102,8 @@
     Refuses,
     /// It carries out orders, but their answers are lost.
     DropsAnswers,
+    /// It carries out orders, but their answers are under way until the test delivers them.
+    HoldsAnswers,
 }
 
 /// Simulated fleet with a dispatcher.
@@ -133,6 +135,8 @@
     pub(crate) loses_throttles: bool,
     /// Fault of the interface to the machines; none if it works.
     pub(crate) machine_fault: Option<MachineFault>,
+    /// Orders to machines that were answered with success, while the answers are under way.
+    held_answers: Vec<MachineOrder>,
     pub(crate) published: BTreeMap<u64, bool>,
     /// Steps and workers that the policy was asked about while it had no service.
     pub(crate) asked: Vec<(StepId, Vec<String>)>,
@@ -313,6 +317,7 @@
             moves: Vec::new(),
             loses_throttles: false,
             machine_fault: None,
+            held_answers: Vec::new(),
             published: BTreeMap::new(),
             asked: Vec::new(),
             policy: None,
@@ -756,23 +761,25 @@
                 self.dispatcher.throttled(&throttle, outcome);
             }
             Command::AskPolicy(request) => self.ask_policy(request),
-            Command::Move(machine, pool) => {
+            Command::Move(order, pool) => {
+                let machine = &order.machine;
                 self.moves.push((now, machine.clone(), pool.clone()));
-                let (row, back) = &self.machines[&machine];
+                let (row, back) = &self.machines[machine];
                 let done = match (row.state, back) {
                     (MachineState::Up, _) => row.pool == pool,
                     (MachineState::Moving, Some((_, goal))) => *goal == pool,
                     _ => false,
                 };
-                self.order_machine(&machine, MachineState::Moving, pool, done);
+                self.order_machine(order, MachineState::Moving, pool, done);
             }
-            Command::Maintain(machine, _) => {
-                let done = self.upkeeps.iter().any(|(_, name)| *name == machine);
+            Command::Maintain(order, _) => {
+                let machine = &order.machine;
+                let done = self.upkeeps.iter().any(|(_, name)| name == machine);
                 if !done && self.machine_fault != Some(MachineFault::Refuses) {
                     self.upkeeps.push((now, machine.clone()));
                 }
-                let pool = self.machines[&machine].0.pool.clone();
-                self.order_machine(&machine, MachineState::Upkeep, pool, done);
+                let pool = self.machines[machine].0.pool.clone();
+                self.order_machine(order, MachineState::Upkeep, pool, done);
             }
             Command::Publish(wave, complete) => {
                 self.published.insert(wave, complete);
@@ -807,16 +814,16 @@
     }
 
     /// Carries out an order to a machine. One that was carried out before is accepted and does nothing.
-    fn order_machine(&mut self, name: &str, state: MachineState, pool: String, done: bool) {
+    fn order_machine(&mut self, order: MachineOrder, state: MachineState, pool: String, done: bool) {
         let now = self.now;
         let outcome = match self.machine_fault {
             None => MachineOutcome::Taken,
-            Some(MachineFault::DropsAnswers) => MachineOutcome::Unknown,
+            Some(MachineFault::DropsAnswers | MachineFault::HoldsAnswers) => MachineOutcome::Unknown,
             Some(MachineFault::Refuses) => {
-                return self.dispatcher.machine_ordered(now, name, MachineOutcome::NotNow);
+                return self.dispatcher.machine_ordered(now, &order, MachineOutcome::NotNow);
             }
         };
-        if !done && let Some((machine, back)) = self.machines.get_mut(name) {
+        if !done && let Some((machine, back)) = self.machines.get_mut(&order.machine) {
             machine.state = state;
             *back = Some((now + MACHINE_MS, pool));
             if let Some(id) = machine.worker.take() {
@@ -824,7 +831,17 @@
                 self.directory.remove(&id);
             }
         }
-        self.dispatcher.machine_ordered(now, name, outcome);
+        if self.machine_fault == Some(MachineFault::HoldsAnswers) {
+            return self.held_answers.push(order);
+        }
+        self.dispatcher.machine_ordered(now, &order, outcome);
+    }
+
+    /// Delivers the held answers to machine orders, with success.
+    pub(crate) fn deliver_answers(&mut self) {
+        for order in std::mem::take(&mut self.held_answers) {
+            self.dispatcher.machine_ordered(self.now, &order, MachineOutcome::Taken);
+        }
     }
 
     pub(crate) fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
