Log what shows that a removed run has ended, and since when

A task that runs twice and a worker that gets more than its capacity begin alike: a run is removed from the owner's books while it goes on. The log named the reason, but not how old the answer behind it was, nor whether the run had been sent and listed.

Change: the line of a removed run has the time since the request whose answer shows the end, the time since the placement, and whether the run was sent and listed; the answer to a machine's order has the time since it was sent. No decision changes.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -14,6 +14,7 @@
 use super::super::command::{Command, MachineOrder};
 use super::super::event::{Machine, MachineState};
 use super::super::worker::{Run, Worker, WorkerKey};
+use super::runs::Evidence;
 use crate::ports::MachineOutcome;
 use crate::record::LastOrder;
 use crate::table::Placement;
@@ -69,6 +70,8 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
+    /// Time at which it was last sent.
+    sent: u64,
 }
 
 impl Order {
@@ -110,7 +113,7 @@
         let row = self.rows.get_mut(name)?;
         self.last_order += 1;
         let (number, stage) = (self.last_order, Stage::Emptying(now));
-        row.order = Some(Order { number, goal, stage, emptied: None, begun: false });
+        row.order = Some(Order { number, goal, stage, emptied: None, begun: false, sent: now });
         Some(&row.machine)
     }
 }
@@ -146,12 +149,12 @@
             self.fleet.rows.insert(row.machine.name.clone(), row);
         }
         self.mark_emptying();
-        self.requeue_gone_workers(asked);
+        self.requeue_gone_workers(now, asked);
     }
 
     /// Requeues the tasks of workers that are gone: a worker that does not answer and runs on no listed
     /// machine has ended, even if its leases have not expired. Starts that are under way may reach its next process.
-    fn requeue_gone_workers(&mut self, asked: u64) {
+    fn requeue_gone_workers(&mut self, now: u64, asked: u64) {
         let rows = self.fleet.rows.values();
         let present: BTreeSet<&str> = rows.filter_map(|row| row.machine.worker.as_deref()).collect();
         let gone = |worker: &Worker| {
@@ -164,7 +167,8 @@
             self.workers.iter().filter(|(_, worker)| gone(worker)).map(|(key, _)| key).collect();
         for key in keys {
             let lost = |run: &Run| !run.may_start() && run.placed < asked;
-            self.mark_some_lost(key, "the machine no longer runs the worker", lost);
+            let evidence = Evidence::new("the machine no longer runs the worker", asked);
+            self.mark_some_lost(now, key, evidence, lost);
         }
     }
 
@@ -247,6 +251,7 @@
             machine = name, order = sent.number, goal:? = order.goal, emptied = order.emptied_worker();
             "the order is sent to the machine"
         );
+        order.sent = now;
         let command = match &order.goal {
             Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
             Goal::Pool(pool) => Command::Move(sent, pool.clone()),
@@ -280,7 +285,8 @@
         let listed = row.and_then(|row| row.machine.worker.as_deref()).unwrap_or_default();
         log::info!(
             machine = name, order = answered.number, outcome:? = outcome, present = present.is_some(),
-            emptied = present.map_or("", Order::emptied_worker), listed = listed; "the machine order was answered"
+            emptied = present.map_or("", Order::emptied_worker), listed = listed,
+            sent_ms = present.map_or(0, |order| now.saturating_sub(order.sent)); "the machine order was answered"
         );
         if outcome == MachineOutcome::Fenced {
             self.fenced_out = true;
@@ -294,14 +300,14 @@
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
                 let goal = order.goal.clone();
-                let emptied = order.emptied.clone();
+                let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
                 let ended = |key: &WorkerKey| {
                     self.workers.get(*key).map(Worker::placement).is_some_and(|place| Some(place) == emptied)
                 };
                 let worker = row.machine.worker.clone();
                 if let Some(key) = worker.and_then(|id| self.worker_key(&id)).filter(ended) {
-                    self.mark_runs_lost(key, "the machine left its pool");
+                    self.mark_runs_lost(now, key, Evidence::new("the machine left its pool", sent));
                     if let Some(worker) = self.workers.get_mut(key) {
                         worker.listed = false;
                     }
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -9,6 +9,7 @@
 use super::super::event::Outcome;
 use super::super::worker::{Worker, WorkerKey};
 use super::polls::target;
+use super::runs::Evidence;
 use crate::ids::TaskId;
 use crate::spec::Resources;
 use crate::table::Phase;
@@ -46,7 +47,7 @@
         let Some(run) = worker.runs.get_mut(&task).filter(|run| !run.stopping) else { return };
         if closed && !run.sent {
             let why = if over { "its team is over its limit" } else { "the worker takes no new tasks" };
-            self.requeue(key, task, why);
+            self.requeue(now, key, task, Evidence::new(why, now));
             return;
         }
         if closed && run.confirmed.is_some() {
@@ -98,7 +99,7 @@
     pub fn started(&mut self, now: u64, start: &Start, outcome: Outcome) {
         let (id, task, number) = (start.target.worker.as_str(), start.task, start.run);
         let Some(key) = self.worker_key(id) else { return };
-        if outcome == Outcome::Replaced && self.end_replaced(key, &start.target, start.token) {
+        if outcome == Outcome::Replaced && self.end_replaced(now, key, &start.target, start.token) {
             return;
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -144,7 +145,7 @@
                 // Nothing was sent to the worker, so there is no answer to wait for.
                 run.sent = repeated || run.confirmed.is_some();
                 if worker.missed_polls > 0 && run.confirmed.is_none() && !repeated {
-                    self.requeue(key, task, "the worker does not answer");
+                    self.requeue(now, key, task, Evidence::new("the worker does not answer", now));
                 }
             }
             Outcome::Unsent => {
@@ -153,10 +154,10 @@
                 run.next_order = Some(now + REPEAT_MS);
                 run.sent = repeated || run.confirmed.is_some();
                 if worker.missed_polls > 0 && !run.sent {
-                    self.requeue(key, task, "the worker does not answer");
+                    self.requeue(now, key, task, Evidence::new("the worker does not answer", now));
                 } else if run.failed_connects >= MAX_CONNECT_ATTEMPTS && !repeated {
                     worker.excluded_until = now + REFUSAL_BACKOFF_MS;
-                    self.requeue(key, task, "the worker cannot be reached");
+                    self.requeue(now, key, task, Evidence::new("the worker cannot be reached", now));
                 }
             }
             Outcome::Full | Outcome::Late | Outcome::Ticket | Outcome::Unhealthy | Outcome::Malformed => {
@@ -176,7 +177,7 @@
                 if repeated {
                     self.stop_run(now, key, task);
                 } else {
-                    self.requeue(key, task, "the worker refused the start");
+                    self.requeue(now, key, task, Evidence::new("the worker refused the start", now));
                 }
             }
         }
@@ -188,7 +189,7 @@
         let (target, token) = (target(worker), worker.token);
         let Some(run) = worker.runs.get_mut(&task) else { return };
         if !run.sent {
-            self.requeue(key, task, "the start is no longer wanted");
+            self.requeue(now, key, task, Evidence::new("the start is no longer wanted", now));
             return;
         }
         run.stopping = true;
@@ -209,7 +210,7 @@
                 self.fenced_out = true;
                 return;
             }
-            Outcome::Replaced if self.end_replaced(key, &stop.target, stop.token) => return,
+            Outcome::Replaced if self.end_replaced(now, key, &stop.target, stop.token) => return,
             _ => {}
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -224,11 +225,11 @@
 
     /// Counts the runs of a worker as lost, since another worker has the address to which an order was sent. False if the
     /// worker has restarted or has another address by now, so that the answer proves nothing.
-    fn end_replaced(&mut self, key: WorkerKey, sent: &Target, token: u64) -> bool {
+    fn end_replaced(&mut self, now: u64, key: WorkerKey, sent: &Target, token: u64) -> bool {
         let current = |worker: &Worker| worker.token == token && worker.record.address == sent.address;
         let replaced = self.workers.get(key).is_some_and(current);
         if replaced {
-            self.mark_runs_lost(key, "another worker has the address");
+            self.mark_runs_lost(now, key, Evidence::new("another worker has the address", now));
         }
         replaced
     }
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -7,7 +7,7 @@
 use super::super::command::{Command, Poll, Stop, Target};
 use super::super::event::{Outcome, RunStatus, WorkerRecord, WorkerStatus};
 use super::super::worker::{FormerStop, Moment, PollState, Run, Worker, WorkerKey};
-use super::runs::RunEnd;
+use super::runs::{Evidence, RunEnd};
 use crate::ids::{JobId, TaskId};
 use crate::table::{Phase, TaskState};
 
@@ -84,7 +84,7 @@
     ///
     /// The new process has seen no token, knows of no stop, and its clock begins anew, so orders to the former one could
     /// still take effect. It gets a token of its own, and counts as fenced once it has answered a poll with it.
-    fn reset_worker(&mut self, now: u64, key: WorkerKey, started_ms: u64) {
+    fn reset_worker(&mut self, now: u64, sent: u64, key: WorkerKey, started_ms: u64) {
         let token = self.raise_token();
         let Some(worker) = self.workers.get_mut(key) else { return };
         let oldest = worker.runs.values().map(|run| now.saturating_sub(run.placed)).max();
@@ -120,7 +120,7 @@
             }
         }
         worker.grant(now, self.options.max_lease_ms);
-        self.mark_some_lost(key, "the worker restarted", ended);
+        self.mark_some_lost(now, key, Evidence::new("the worker restarted", sent), ended);
         self.unchanged = false;
     }
 
@@ -176,7 +176,8 @@
             Ok(status) => self.apply_status(now, sent, wait_ms, key, status),
             Err(Outcome::Fenced) if token == worker.token => self.fenced_out = true,
             Err(Outcome::Replaced) if token == worker.token => {
-                self.mark_runs_lost(key, "another worker has the address");
+                let evidence = Evidence::new("another worker has the address", sent.steady);
+                self.mark_runs_lost(now, key, evidence);
                 if let Some(worker) = self.workers.get_mut(key) {
                     worker.listed = false;
                     worker.missed_polls += 1;
@@ -194,7 +195,7 @@
                 }
                 self.supersede_runs(now, key);
                 if first {
-                    self.requeue_unsent(key);
+                    self.requeue_unsent(now, key);
                 }
             }
         }
@@ -209,7 +210,7 @@
             return;
         }
         if status.started_ms > known && known != 0 {
-            return self.reset_worker(now, key, status.started_ms);
+            return self.reset_worker(now, sent.steady, key, status.started_ms);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let estimate = worker.clock_at(at, self.options.poll_wait_ms);
@@ -356,7 +357,7 @@
         begun.into_iter().for_each(|id| self.mark_started(id));
         self.counters.lost += lost.len() as u64;
         for task in lost {
-            self.requeue(key, task, "the worker does not list the run");
+            self.requeue(now, key, task, Evidence::new("the worker does not list the run", sent));
         }
         for listed in unplaced {
             if unread.contains(&listed.task.job) {
@@ -372,7 +373,7 @@
     /// stopped.
     fn handle_unplaced_run(&mut self, now: u64, key: WorkerKey, target: &Target, listed: &RunStatus) {
         let (task, number) = (listed.task, listed.run);
-        self.requeue_unsent_run(task);
+        self.requeue_unsent_run(now, task);
         let resumed = self.reattach_run(key, task, number);
         log::warn!(
             task:% = task, run = number, worker = target.worker.as_str(), resumed = resumed;
@@ -409,14 +410,15 @@
     }
 
     /// Removes the run of a task whose start was not sent, because another run of the task has not ended.
-    fn requeue_unsent_run(&mut self, task: TaskId) {
+    fn requeue_unsent_run(&mut self, now: u64, task: TaskId) {
         let unsent = |key: &WorkerKey| {
             let run = self.workers.get(*key).and_then(|worker| worker.runs.get(&task));
             run.is_some_and(|run| !run.sent)
         };
         let placed = self.placed_runs(task, task).map(|(_, key)| key).find(unsent);
         if let Some(key) = placed.filter(|_| !self.allows_copies(task)) {
-            self.requeue(key, task, "another run of the task has not ended");
+            let evidence = Evidence::new("another run of the task has not ended", now);
+            self.requeue(now, key, task, evidence);
         }
     }
 
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -84,9 +84,15 @@
     }
 
     /// Removes a run that did not start or is lost. The task waits again if this was its current run.
-    pub(super) fn requeue(&mut self, key: WorkerKey, task: TaskId, why: &'static str) {
+    pub(super) fn requeue(&mut self, now: u64, key: WorkerKey, task: TaskId, evidence: Evidence) {
         let Some(run) = self.remove_run(key, task) else { return };
-        log::info!(task:% = task, run = run.number, why = why, worker = self.worker_id(key); "the run is removed; its task is requeued if this was its current run");
+        let Evidence { why, asked } = evidence;
+        log::info!(
+            task:% = task, run = run.number, worker = self.worker_id(key), why = why,
+            asked_ms = now.saturating_sub(asked), placed_ms = now.saturating_sub(run.placed),
+            sent = run.sent, listed = run.listed;
+            "the run is removed; its task is requeued if this was its current run"
+        );
         let Some(job) = self.table.get_mut(task.job) else { return };
         if let Some(row) = job.progress.task_mut(&job.submission, task)
             && row.placed()
@@ -101,24 +107,30 @@
     }
 
     /// Counts all runs of a worker as lost and requeues their tasks.
-    pub(super) fn mark_runs_lost(&mut self, key: WorkerKey, why: &'static str) {
-        self.mark_some_lost(key, why, |_| true);
+    pub(super) fn mark_runs_lost(&mut self, now: u64, key: WorkerKey, evidence: Evidence) {
+        self.mark_some_lost(now, key, evidence, |_| true);
     }
 
     /// Counts the runs of a worker that meet a condition as lost and requeues their tasks.
-    pub(super) fn mark_some_lost(&mut self, key: WorkerKey, why: &'static str, lost: impl Fn(&Run) -> bool) {
+    pub(super) fn mark_some_lost(
+        &mut self,
+        now: u64,
+        key: WorkerKey,
+        evidence: Evidence,
+        lost: impl Fn(&Run) -> bool,
+    ) {
         let Some(worker) = self.workers.get(key) else { return };
         let runs = worker.runs.iter().filter(|(_, run)| lost(run));
         let tasks: Vec<TaskId> = runs.map(|(task, _)| *task).collect();
         self.counters.lost += tasks.len() as u64;
         for task in tasks {
-            self.requeue(key, task, why);
+            self.requeue(now, key, task, evidence);
         }
     }
 
     /// Requeues the tasks that were placed on a worker and not sent to it.
-    pub(super) fn requeue_unsent(&mut self, key: WorkerKey) {
-        self.mark_some_lost(key, "the worker does not answer", |run| !run.sent);
+    pub(super) fn requeue_unsent(&mut self, now: u64, key: WorkerKey) {
+        self.mark_some_lost(now, key, Evidence::new("the worker does not answer", now), |run| !run.sent);
     }
 
     /// Applies an end that a worker listed.
@@ -280,6 +292,21 @@
     }
 }
 
+/// What shows that a run has ended or will not begin, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Evidence {
+    /// What was found.
+    why: &'static str,
+    /// Time of the request whose answer shows it; time of the decision if there was none or it is not kept.
+    asked: u64,
+}
+
+impl Evidence {
+    pub(super) const fn new(why: &'static str, asked: u64) -> Self {
+        Self { why, asked }
+    }
+}
+
 /// End of a run as a worker reported it.
 #[derive(Clone, Debug)]
 pub(super) struct RunEnd {
