Give a worker no tasks between the removal of its runs and its next answer

Users saw a worker that got more tasks than it has room for (LIMIT).

The worker was marked as not listed only until the next read of the directory. If the list of machines then showed the order as done, and the worker had answered a poll less than 700 ms before, it got other tasks without a poll that would have shown what it runs.

The second path that removes all runs of a worker on the word of others is the answer that another worker has its address: a_worker_whose_runs_were_removed_gets_no_tasks_before_it_answers_a_poll failed on the present logic, all eight tasks "started at 1510 beside its run 1" on a worker that went on.

Change: a worker whose runs are all removed without their ends being listed counts as unresponsive until it answers a poll that is sent later. What it still runs is counted before it gets tasks.

--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -106,9 +106,13 @@
         }
     }
 
-    /// Counts all runs of a worker as lost and requeues their tasks.
+    /// Counts all runs of a worker as lost and requeues their tasks. The worker itself has not listed their ends, so it gets no tasks
+    /// until it answers again.
     pub(super) fn mark_runs_lost(&mut self, now: u64, key: WorkerKey, evidence: Evidence) {
         self.mark_some_lost(now, key, evidence, |_| true);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.require_answer(now);
+        }
     }
 
     /// Counts the runs of a worker that meet a condition as lost and requeues their tasks.
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -315,6 +315,13 @@
         }
     }
 
+    /// Has it get no tasks until it answers a poll that is sent from now on, which shows what it really runs.
+    pub fn require_answer(&mut self, now: u64) {
+        self.missed_polls = self.missed_polls.max(1);
+        self.disown_poll();
+        self.poll_soon(now);
+    }
+
     /// Placement of a task on its newest process.
     #[must_use]
     pub fn placement(&self) -> Placement {
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use rattanfall_jobs::dispatch::event::Outcome;
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
@@ -120,6 +121,46 @@
     assert!((1..=6).all(|id| world.state(id) == Some(JobState::Completed)));
 }
 
+/// Guards against a worker that gets more tasks than it has room for: a late answer about its machine gives back the room of runs
+/// that go on.
+#[test]
+fn a_late_answer_about_a_machine_gives_back_no_room_in_use() {
+    let mut world = world(2, 0);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_until(&mut world, "upkeep", |world| world.upkeeps.len() == 1);
+    world.submit(job(1, vec![step(1, cores(16), 8_000)]));
+    run_checked(&mut world, 300);
+    world.submit(job(2, vec![step(8, cores(2), 4_000)]));
+    run_until(&mut world, "start on the next worker", |world| world.starts.len() == 9);
+    world.machine_fault = None;
+    // The list shows the order as done soon after its answer, and the worker has answered a poll just before.
+    world.set_options(Options::default());
+    // The shorter job is served first.
+    world.submit(job(3, vec![step(8, cores(2), 1_000)]));
+    for _ in 0..5_000 / ROUND_MS {
+        world.round();
+        world.publish_directory();
+    }
+    assert!(world.peak_cpu <= 16_000, "{} thousandths of a core in use on one worker", world.peak_cpu);
+}
+
+/// Guards against a worker that gets more tasks than it has room for, since its runs were removed on the word of others while it goes
+/// on with them.
+#[test]
+fn a_worker_whose_runs_were_removed_gets_no_tasks_before_it_answers_a_poll() {
+    let mut world = world(1, 0);
+    world.submit(job(1, vec![step(8, cores(2), 4_000)]));
+    run_checked(&mut world, 500);
+    world.submit(job(2, vec![step(8, cores(2), 1_000)]));
+    let (_, start) = world.start_orders.last().expect("a start").clone();
+    world.dispatcher.started(world.now, &start, Outcome::Replaced);
+    world.run_for(3_000);
+    assert!(world.peak_cpu <= 16_000, "{} thousandths of a core in use on one worker", world.peak_cpu);
+    run_checked(&mut world, 6_000);
+    assert!((1..=2).all(|id| world.state(id) == Some(JobState::Completed)));
+}
+
 /// Guards against a machine that stays out of service, because a list shows its move as done while the order is being repeated.
 #[test]
 fn a_move_that_was_carried_out_does_not_empty_the_next_worker() {
