Count a machine as gone only if two lists in a row lack it

Tasks would run twice while their worker is cut off, and an order to a machine would be forgotten.

Cause: the list of machines comes in pages. If it changes between two of them, a machine can be missing from all pages, or be on two. A machine that one list lacked lost its row with the order, and its worker, if silent, counted as gone before its leases were over. A machine on two pages lost its order as well. Only deployments with more machines than a page holds read several pages.

Evidence: machine_orders::a_machine_that_one_list_lacks_keeps_its_runs failed before, four tasks with two runs at 4,020 ms; a_machine_keeps_its_order_when_one_list_is_not_consistent failed in both cases, two orders for one upkeep.

Change: a machine that one list lacks keeps its row, gets no new order, and is dropped when the next list lacks it, too. Of two rows in one list the last counts, and the order stays.

Result: the tests hold, and a_machine_that_two_lists_lack_is_gone, which held before, still does.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -92,6 +92,8 @@
     pub(super) handover_until: u64,
     /// Time until which it gets no order.
     pub(super) blocked_until: u64,
+    /// True if the last list lacked it.
+    unlisted: bool,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -129,25 +131,39 @@
         age >= if busy { self.options.list_busy_ms } else { self.options.list_ms }
     }
 
-    /// Replaces the machines by a list that was requested at the time `asked`.
+    /// Replaces the machines by a list that was requested at the time `asked`. A list comes in pages, and one that changes
+    /// meanwhile may lack a machine or have it twice, so a machine is gone only if two lists in a row lack it.
     pub fn set_machines(&mut self, now: u64, asked: u64, machines: Vec<Machine>) {
         self.fleet.list_asked = Some(asked);
         let mut old = std::mem::take(&mut self.fleet.rows);
         for machine in machines {
-            let row = match old.remove(&machine.name) {
+            let known = old.remove(&machine.name).or_else(|| self.fleet.rows.remove(&machine.name));
+            let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    row.machine = machine;
-                    row
+                    MachineRow { machine, unlisted: false, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
                     let handover_until = self.handover_end(now, &machine.name);
-                    MachineRow { machine, order: None, idle: Some(now), blocked_until, handover_until }
+                    MachineRow {
+                        machine,
+                        order: None,
+                        idle: Some(now),
+                        handover_until,
+                        blocked_until,
+                        unlisted: false,
+                    }
                 }
             };
             self.fleet.rows.insert(row.machine.name.clone(), row);
         }
+        for (name, row) in old {
+            log::info!(machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
+            if !row.unlisted {
+                self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
+            }
+        }
         self.mark_emptying();
         self.requeue_gone_workers(now, asked);
     }
@@ -341,7 +357,8 @@
 impl MachineRow {
     /// True if it may get an order.
     pub(super) fn is_available(&self, now: u64) -> bool {
-        self.order.is_none() && self.machine.state == MachineState::Up && self.blocked_until <= now
+        let idle = self.order.is_none() && self.machine.state == MachineState::Up;
+        idle && !self.unlisted && self.blocked_until <= now
     }
 
     /// Removes an order that a newer list shows as carried out.
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -180,8 +180,7 @@
     // The repeat waits for the store.
     world.down = true;
     world.run_for(600);
-    let listed = world.machines.values().map(|(machine, _)| machine.clone()).collect();
-    world.dispatcher.set_machines(world.now, world.now, listed);
+    world.dispatcher.set_machines(world.now, world.now, world.list_machines());
     world.down = false;
     world.machine_fault = None;
     world.set_options(Options::default());
@@ -220,3 +219,62 @@
     assert_eq!(world.upkeeps.len(), 1);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against a second run of tasks whose worker is cut off while one list of machines leaves its machine out.
+#[test]
+fn a_machine_that_one_list_lacks_keeps_its_runs() {
+    let mut world = world(2, 0);
+    world.submit(job(1, vec![step(4, cores(2), 4_000)]));
+    run_checked(&mut world, 500);
+    let (cut, machine) = {
+        let (id, worker) = world.workers.iter().find(|(_, worker)| !worker.runs.is_empty()).expect("a run");
+        (id.clone(), worker.machine.clone())
+    };
+    // A worker counts as gone by a list that was read some time after it became known.
+    run_checked(&mut world, 1_000);
+    world.workers.get_mut(&cut).expect("it is up").partitioned = true;
+    run_checked(&mut world, 1_000);
+    let mut list = world.list_machines();
+    list.retain(|listed| listed.name != machine);
+    world.dispatcher.set_machines(world.now, world.now, list);
+    run_checked(&mut world, 1_000);
+    world.workers.get_mut(&cut).expect("it is up").partitioned = false;
+    run_checked(&mut world, 8_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+}
+
+/// Guards against an order that is forgotten because a list of machines, which changes between two of its pages, leaves its machine
+/// out or has it twice.
+#[rstest]
+fn a_machine_keeps_its_order_when_one_list_is_not_consistent(#[values(0, 2)] times: usize) {
+    let mut world = world(2, 0);
+    world.machine_fault = Some(MachineFault::HoldsAnswers);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_until(&mut world, "upkeep", |world| !world.upkeeps.is_empty());
+    let mut list = world.list_machines();
+    let row = list.remove(0);
+    assert_eq!(row.name, "red-00");
+    list.extend(std::iter::repeat_n(row, times));
+    world.dispatcher.set_machines(world.now, world.now, list);
+    world.machine_fault = None;
+    world.deliver_answers();
+    run_checked(&mut world, 5_000);
+    assert_eq!(world.published.get(&1), Some(&true));
+    assert_eq!(world.machine_orders, 1);
+}
+
+/// Guards against a machine that stays known after it has left.
+#[test]
+fn a_machine_that_two_lists_lack_is_gone() {
+    let mut world = world(2, 0);
+    world.submit(job(1, vec![step(4, cores(2), 60_000)]));
+    run_checked(&mut world, 2_000);
+    let lost = world.workers.iter().find(|(_, worker)| !worker.runs.is_empty()).expect("a run").0.clone();
+    let machine = world.kill_worker(&lost);
+    let name =
+        world.machines.values().find(|(machine, _)| machine.worker.is_none()).expect("it").0.name.clone();
+    world.machines.remove(&name);
+    run_checked(&mut world, 3_000);
+    assert_eq!(world.running().len(), 4, "the tasks of {} run again", machine.worker);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -131,6 +131,8 @@
     pub(crate) throttles: Vec<(u64, Throttle)>,
     pub(crate) upkeeps: Vec<(u64, String)>,
     pub(crate) moves: Vec<(u64, String, String)>,
+    /// Number of orders to machines, including repeated ones.
+    pub(crate) machine_orders: usize,
     /// True while no order about the speed of a run reaches its worker.
     pub(crate) loses_throttles: bool,
     /// Fault of the interface to the machines; none if it works.
@@ -315,6 +317,7 @@
             throttles: Vec::new(),
             upkeeps: Vec::new(),
             moves: Vec::new(),
+            machine_orders: 0,
             loses_throttles: false,
             machine_fault: None,
             held_answers: Vec::new(),
@@ -502,8 +505,7 @@
             self.publish_directory();
         }
         if !self.machines_unread && self.dispatcher.needs_machine_list(self.now) {
-            let machines = self.machines.values().map(|(machine, _)| machine.clone()).collect();
-            self.dispatcher.set_machines(self.now, self.now, machines);
+            self.dispatcher.set_machines(self.now, self.now, self.list_machines());
         }
         self.dispatcher.set_unix(self.now, UNIX + self.now);
         self.dispatcher.contacted(self.now);
@@ -723,6 +725,11 @@
         }
     }
 
+    /// Complete list of machines.
+    pub(crate) fn list_machines(&self) -> Vec<Machine> {
+        self.machines.values().map(|(machine, _)| machine.clone()).collect()
+    }
+
     fn carry_out(&mut self, command: Command) {
         let now = self.now;
         if let Command::Start(start) = &command {
@@ -816,6 +823,7 @@
     /// Carries out an order to a machine. One that was carried out before is accepted and does nothing.
     fn order_machine(&mut self, order: MachineOrder, state: MachineState, pool: String, done: bool) {
         let now = self.now;
+        self.machine_orders += 1;
         let outcome = match self.machine_fault {
             None => MachineOutcome::Taken,
             Some(MachineFault::DropsAnswers | MachineFault::HoldsAnswers) => MachineOutcome::Unknown,
