--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -11,9 +11,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::super::Dispatcher;
-use super::super::command::Command;
+use super::super::command::{Command, MachineOrder};
 use super::super::event::{Machine, MachineState};
 use super::super::worker::{Run, Worker, WorkerKey};
+use super::runs::Evidence;
 use crate::ports::MachineOutcome;
 use crate::record::LastOrder;
 use crate::table::Placement;
@@ -61,20 +62,19 @@
 /// Order to a machine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(in super::super) struct Order {
+    /// Number of the order among those of this owner, from 1.
+    number: u64,
     pub(super) goal: Goal,
     pub(super) stage: Stage,
     /// Process of the worker that was emptied for it; none before, or if there is no worker.
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
+    /// Time at which it was last sent.
+    sent: u64,
 }
 
 impl Order {
-    /// Order whose machine is emptied from now on.
-    pub(super) const fn new(now: u64, goal: Goal) -> Self {
-        Self { goal, stage: Stage::Emptying(now), emptied: None, begun: false }
-    }
-
     /// Id of the worker that was emptied for it; empty if there is none.
     fn emptied_worker(&self) -> &str {
         self.emptied.as_ref().map_or("", |place| place.worker.as_str())
@@ -92,6 +92,8 @@
     pub(super) handover_until: u64,
     /// Time until which it gets no order.
     pub(super) blocked_until: u64,
+    /// True if the last list lacked it.
+    unlisted: bool,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -101,10 +103,23 @@
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) demand: BTreeMap<String, Demand>,
     last_plan: u64,
+    /// Number of the last order.
+    last_order: u64,
     /// Time at which the last list of machines was requested.
     list_asked: Option<u64>,
 }
 
+impl Fleet {
+    /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
+    pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
+        let row = self.rows.get_mut(name)?;
+        self.last_order += 1;
+        let (number, stage) = (self.last_order, Stage::Emptying(now));
+        row.order = Some(Order { number, goal, stage, emptied: None, begun: false, sent: now });
+        Some(&row.machine)
+    }
+}
+
 impl Dispatcher {
     /// True if the list of machines should be read now.
     #[must_use]
@@ -116,32 +131,46 @@
         age >= if busy { self.options.list_busy_ms } else { self.options.list_ms }
     }
 
-    /// Replaces the machines by a list that was requested at the time `asked`.
+    /// Replaces the machines by a list that was requested at the time `asked`. A list comes in pages, and one that changes
+    /// meanwhile may lack a machine or have it twice, so a machine is gone only if two lists in a row lack it.
     pub fn set_machines(&mut self, now: u64, asked: u64, machines: Vec<Machine>) {
         self.fleet.list_asked = Some(asked);
         let mut old = std::mem::take(&mut self.fleet.rows);
         for machine in machines {
-            let row = match old.remove(&machine.name) {
+            let known = old.remove(&machine.name).or_else(|| self.fleet.rows.remove(&machine.name));
+            let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    row.machine = machine;
-                    row
+                    MachineRow { machine, unlisted: false, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
                     let handover_until = self.handover_end(now, &machine.name);
-                    MachineRow { machine, order: None, idle: Some(now), blocked_until, handover_until }
+                    MachineRow {
+                        machine,
+                        order: None,
+                        idle: Some(now),
+                        handover_until,
+                        blocked_until,
+                        unlisted: false,
+                    }
                 }
             };
             self.fleet.rows.insert(row.machine.name.clone(), row);
         }
+        for (name, row) in old {
+            log::info!(machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
+            if !row.unlisted {
+                self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
+            }
+        }
         self.mark_emptying();
-        self.requeue_gone_workers(asked);
+        self.requeue_gone_workers(now, asked);
     }
 
     /// Requeues the tasks of workers that are gone: a worker that does not answer and runs on no listed
     /// machine has ended, even if its leases have not expired. Starts that are under way may reach its next process.
-    fn requeue_gone_workers(&mut self, asked: u64) {
+    fn requeue_gone_workers(&mut self, now: u64, asked: u64) {
         let rows = self.fleet.rows.values();
         let present: BTreeSet<&str> = rows.filter_map(|row| row.machine.worker.as_deref()).collect();
         let gone = |worker: &Worker| {
@@ -154,7 +183,8 @@
             self.workers.iter().filter(|(_, worker)| gone(worker)).map(|(key, _)| key).collect();
         for key in keys {
             let lost = |run: &Run| !run.may_start() && run.placed < asked;
-            self.mark_some_lost(key, "the machine no longer runs the worker", lost);
+            let evidence = Evidence::new("the machine no longer runs the worker", asked);
+            self.mark_some_lost(now, key, evidence, lost);
         }
     }
 
@@ -212,30 +242,36 @@
             order.emptied = place;
         }
         order.stage = Stage::Ordered;
+        let number = order.number;
         let instance = self.table.owner.instance().to_owned();
         self.table.orders.insert(name.to_owned(), LastOrder { at: self.wall_clock, instance });
-        self.dirty_orders.insert(name.to_owned());
+        self.dirty_orders.insert(name.to_owned(), number);
     }
 
-    /// Sends the order of a machine, or empties the machine again if its worker has got runs since.
-    pub(in super::super) fn send_order(&mut self, now: u64, name: &str) {
+    /// Sends an order, or empties the machine again if its worker has got runs since. An order that the machine no longer
+    /// has is not sent.
+    pub(in super::super) fn send_order(&mut self, now: u64, sent: MachineOrder) {
+        let name = sent.machine.as_str();
         let Some(row) = self.fleet.rows.get(name) else { return };
         let worker = self.machine_worker(row).and_then(|key| self.workers.get(key));
         let busy = worker.is_some_and(|worker| !worker.runs.is_empty());
-        let Some(order) = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut()) else { return };
+        let order = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut());
+        let Some(order) = order.filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
         if busy && !order.begun {
             log::info!(machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
             order.stage = Stage::Emptying(now);
             return;
         }
-        let command = match &order.goal {
-            Goal::Upkeep(wave) => Command::Maintain(name.to_owned(), *wave),
-            Goal::Pool(pool) => Command::Move(name.to_owned(), pool.clone()),
-        };
         log::info!(
-            machine = name, goal:? = order.goal, emptied = order.emptied_worker(); "the order is sent to the machine"
+            machine = name, order = sent.number, goal:? = order.goal, emptied = order.emptied_worker();
+            "the order is sent to the machine"
         );
+        order.sent = now;
+        let command = match &order.goal {
+            Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
+            Goal::Pool(pool) => Command::Move(sent, pool.clone()),
+        };
         self.commands.push(command);
     }
 
@@ -256,27 +292,38 @@
         if own { handover_until.min(now + OWN_HANDOVER_MS) } else { handover_until }
     }
 
-    /// Handles the outcome of an order to a machine.
-    pub fn machine_ordered(&mut self, now: u64, name: &str, outcome: MachineOutcome) {
-        let Some(row) = self.fleet.rows.get_mut(name) else { return };
-        let emptied = row.order.as_ref().map_or("", Order::emptied_worker);
-        let listed = row.machine.worker.as_deref().unwrap_or_default();
+    /// Handles the outcome of an order to a machine. The list may have shown a former order as carried out before its last
+    /// repeat is answered, so the answer counts only if the machine still has that order.
+    pub fn machine_ordered(&mut self, now: u64, answered: &MachineOrder, outcome: MachineOutcome) {
+        let name = answered.machine.as_str();
+        let row = self.fleet.rows.get(name);
+        let present = row.and_then(|row| row.order.as_ref()).filter(|order| order.number == answered.number);
+        let listed = row.and_then(|row| row.machine.worker.as_deref()).unwrap_or_default();
         log::info!(
-            machine = name, outcome:? = outcome, emptied = emptied, listed = listed; "the machine order was answered"
+            machine = name, order = answered.number, outcome:? = outcome, present = present.is_some(),
+            emptied = present.map_or("", Order::emptied_worker), listed = listed,
+            sent_ms = present.map_or(0, |order| now.saturating_sub(order.sent)); "the machine order was answered"
         );
+        if outcome == MachineOutcome::Fenced {
+            self.fenced_out = true;
+        }
+        if present.is_none() {
+            return;
+        }
+        let Some(row) = self.fleet.rows.get_mut(name) else { return };
         let Some(order) = &mut row.order else { return };
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
                 let goal = order.goal.clone();
-                let emptied = order.emptied.clone();
+                let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
                 let ended = |key: &WorkerKey| {
                     self.workers.get(*key).map(Worker::placement).is_some_and(|place| Some(place) == emptied)
                 };
                 let worker = row.machine.worker.clone();
                 if let Some(key) = worker.and_then(|id| self.worker_key(&id)).filter(ended) {
-                    self.mark_runs_lost(key, "the machine left its pool");
+                    self.mark_runs_lost(now, key, Evidence::new("the machine left its pool", sent));
                     if let Some(worker) = self.workers.get_mut(key) {
                         worker.listed = false;
                     }
@@ -302,7 +349,7 @@
                     row.blocked_until = now + 4 * BUSY_BACKOFF_MS;
                 }
             }
-            MachineOutcome::Fenced => self.fenced_out = true,
+            MachineOutcome::Fenced => {}
         }
     }
 }
@@ -310,7 +357,8 @@
 impl MachineRow {
     /// True if it may get an order.
     pub(super) fn is_available(&self, now: u64) -> bool {
-        self.order.is_none() && self.machine.state == MachineState::Up && self.blocked_until <= now
+        let idle = self.order.is_none() && self.machine.state == MachineState::Up;
+        idle && !self.unlisted && self.blocked_until <= now
     }
 
     /// Removes an order that a newer list shows as carried out.
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use rattanfall_jobs::dispatch::event::Outcome;
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
@@ -120,6 +121,46 @@
     assert!((1..=6).all(|id| world.state(id) == Some(JobState::Completed)));
 }
 
+/// Guards against a worker that gets more tasks than it has room for: a late answer about its machine gives back the room of runs
+/// that go on.
+#[test]
+fn a_late_answer_about_a_machine_gives_back_no_room_in_use() {
+    let mut world = world(2, 0);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_until(&mut world, "upkeep", |world| world.upkeeps.len() == 1);
+    world.submit(job(1, vec![step(1, cores(16), 8_000)]));
+    run_checked(&mut world, 300);
+    world.submit(job(2, vec![step(8, cores(2), 4_000)]));
+    run_until(&mut world, "start on the next worker", |world| world.starts.len() == 9);
+    world.machine_fault = None;
+    // The list shows the order as done soon after its answer, and the worker has answered a poll just before.
+    world.set_options(Options::default());
+    // The shorter job is served first.
+    world.submit(job(3, vec![step(8, cores(2), 1_000)]));
+    for _ in 0..5_000 / ROUND_MS {
+        world.round();
+        world.publish_directory();
+    }
+    assert!(world.peak_cpu <= 16_000, "{} thousandths of a core in use on one worker", world.peak_cpu);
+}
+
+/// Guards against a worker that gets more tasks than it has room for, since its runs were removed on the word of others while it goes
+/// on with them.
+#[test]
+fn a_worker_whose_runs_were_removed_gets_no_tasks_before_it_answers_a_poll() {
+    let mut world = world(1, 0);
+    world.submit(job(1, vec![step(8, cores(2), 4_000)]));
+    run_checked(&mut world, 500);
+    world.submit(job(2, vec![step(8, cores(2), 1_000)]));
+    let (_, start) = world.start_orders.last().expect("a start").clone();
+    world.dispatcher.started(world.now, &start, Outcome::Replaced);
+    world.run_for(3_000);
+    assert!(world.peak_cpu <= 16_000, "{} thousandths of a core in use on one worker", world.peak_cpu);
+    run_checked(&mut world, 6_000);
+    assert!((1..=2).all(|id| world.state(id) == Some(JobState::Completed)));
+}
+
 /// Guards against a machine that stays out of service, because a list shows its move as done while the order is being repeated.
 #[test]
 fn a_move_that_was_carried_out_does_not_empty_the_next_worker() {
@@ -139,8 +180,7 @@
     // The repeat waits for the store.
     world.down = true;
     world.run_for(600);
-    let listed = world.machines.values().map(|(machine, _)| machine.clone()).collect();
-    world.dispatcher.set_machines(world.now, world.now, listed);
+    world.dispatcher.set_machines(world.now, world.now, world.list_machines());
     world.down = false;
     world.machine_fault = None;
     world.set_options(Options::default());
@@ -152,3 +192,89 @@
     }
     assert!(rounds * ROUND_MS < 2_000, "emptied for {} ms", rounds * ROUND_MS);
 }
+
+/// Guards against a wave that is shown as completed although a machine of it got no upkeep: the answer to the move before was taken
+/// for one to the order for upkeep.
+#[test]
+fn a_late_answer_to_a_move_does_not_count_as_one_to_the_upkeep() {
+    let mut world = world(1, 3);
+    world.moves.clear();
+    world.machine_fault = Some(MachineFault::HoldsAnswers);
+    for id in 1..=8 {
+        world.submit(job(id, vec![step(8, cores(2), 2_000)]));
+    }
+    run_until(&mut world, "move", |world| !world.moves.is_empty());
+    let machine = world.moves[0].1.clone();
+    run_checked(&mut world, 3_000);
+    assert!(world.workers.values().any(|worker| worker.machine == machine), "the move is not done");
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.plan_wave(&[&machine], 1, 5_000);
+    run_checked(&mut world, 1_000);
+    world.deliver_answers();
+    run_checked(&mut world, 4_000);
+    assert_eq!(world.upkeeps, []);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machine_fault = None;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against a second run of tasks whose worker is cut off while one list of machines leaves its machine out.
+#[test]
+fn a_machine_that_one_list_lacks_keeps_its_runs() {
+    let mut world = world(2, 0);
+    world.submit(job(1, vec![step(4, cores(2), 4_000)]));
+    run_checked(&mut world, 500);
+    let (cut, machine) = {
+        let (id, worker) = world.workers.iter().find(|(_, worker)| !worker.runs.is_empty()).expect("a run");
+        (id.clone(), worker.machine.clone())
+    };
+    // A worker counts as gone by a list that was read some time after it became known.
+    run_checked(&mut world, 1_000);
+    world.workers.get_mut(&cut).expect("it is up").partitioned = true;
+    run_checked(&mut world, 1_000);
+    let mut list = world.list_machines();
+    list.retain(|listed| listed.name != machine);
+    world.dispatcher.set_machines(world.now, world.now, list);
+    run_checked(&mut world, 1_000);
+    world.workers.get_mut(&cut).expect("it is up").partitioned = false;
+    run_checked(&mut world, 8_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+}
+
+/// Guards against an order that is forgotten because a list of machines, which changes between two of its pages, leaves its machine
+/// out or has it twice.
+#[rstest]
+fn a_machine_keeps_its_order_when_one_list_is_not_consistent(#[values(0, 2)] times: usize) {
+    let mut world = world(2, 0);
+    world.machine_fault = Some(MachineFault::HoldsAnswers);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_until(&mut world, "upkeep", |world| !world.upkeeps.is_empty());
+    let mut list = world.list_machines();
+    let row = list.remove(0);
+    assert_eq!(row.name, "red-00");
+    list.extend(std::iter::repeat_n(row, times));
+    world.dispatcher.set_machines(world.now, world.now, list);
+    world.machine_fault = None;
+    world.deliver_answers();
+    run_checked(&mut world, 5_000);
+    assert_eq!(world.published.get(&1), Some(&true));
+    assert_eq!(world.machine_orders, 1);
+}
+
+/// Guards against a machine that stays known after it has left.
+#[test]
+fn a_machine_that_two_lists_lack_is_gone() {
+    let mut world = world(2, 0);
+    world.submit(job(1, vec![step(4, cores(2), 60_000)]));
+    run_checked(&mut world, 2_000);
+    let lost = world.workers.iter().find(|(_, worker)| !worker.runs.is_empty()).expect("a run").0.clone();
+    let machine = world.kill_worker(&lost);
+    let name =
+        world.machines.values().find(|(machine, _)| machine.worker.is_none()).expect("it").0.name.clone();
+    world.machines.remove(&name);
+    run_checked(&mut world, 3_000);
+    assert_eq!(world.running().len(), 4, "the tasks of {} run again", machine.worker);
+}
