Hold an order back while its machine may have a worker that the list doesn't name

Tasks would be ended by upkeep or a move of their machine, without being moved or stopped first, and start again only once the owner has noticed.

Cause: a machine whose listed worker is unknown counted as empty. If the list of machines can't be read for longer than a crash takes, the machine has another worker by then, which the directory shows and which gets tasks, while the list still names the former one.

Change: if the listed worker is unknown, the order waits while the machine's pool and availability zone have a worker with runs that no row of the list names.

--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -36,7 +36,9 @@
             .map(|w| w.runs.iter().map(|(task, run)| (*task, run.long_running, run.stopping)).collect())
             .unwrap_or_default();
         if runs.is_empty() {
-            self.order_machine(name);
+            if self.fleet.rows.get(name).is_some_and(|row| !self.may_have_runs(row)) {
+                self.order_machine(name);
+            }
             return;
         }
         let Some(key) = key else { return };
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -278,3 +278,23 @@
     run_checked(&mut world, 3_000);
     assert_eq!(world.running().len(), 4, "the tasks of {} run again", machine.worker);
 }
+
+/// Guards against an order that ends the runs of a worker which the last list of machines doesn't name yet, since it is older than a
+/// crash of the machine.
+#[test]
+fn an_order_waits_for_a_list_that_names_the_worker_of_a_machine() {
+    let mut world = world(1, 0);
+    world.machines_unread = true;
+    world.crash("red-00");
+    run_until(&mut world, "restart", |world| !world.workers.is_empty());
+    world.submit(job(1, vec![step(4, cores(2), 2_000)]));
+    run_until(&mut world, "start", |world| world.starts.len() == 4);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_checked(&mut world, 1_500);
+    assert_eq!(world.upkeeps, []);
+    world.machines_unread = false;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
