--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -159,7 +159,7 @@
 pub enum MachineOutcome {
     /// Executed, now or earlier.
     Taken,
-    /// The machine is not up or its worker is leaving.
+    /// The machine is not up, its worker is leaving, or the reason for the rejection is unknown.
     Busy,
     /// The machine service has seen a higher fencing token.
     Fenced,
