Send a write of the owner again while its answer is late

Callers saw work stand still while the store loses answers: an owner's write whose answer was lost was sent again after the time limit of the call (900 ms), and starts, ends and states of jobs waited for it.

The store carries out an append with a fence once, so a repeat is safe at any time. It is now sent beside the first attempt once the answer is late against recent ones (smoothed time and deviation, doubled with each attempt without an answer), three attempts at most.

--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -12,13 +12,14 @@
 mod membership;
 pub mod options;
 mod owner;
+pub mod repeats;
 mod state;
 mod summaries;
 pub mod supervision;
 pub mod view;
 mod work;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -29,10 +30,13 @@
 use crate::ports::{Group, Platform};
 use calls::{Handle, Message};
 use options::Options;
+use repeats::{AnswerTimes, Limits};
 use state::State;
 
 /// Interval between two checks of readiness.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Repeats of the owner's writes, of which one is under way at a time.
+const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 3 };
 
 /// Node of the fleet of entry instances.
 pub struct Node<P: Platform> {
@@ -42,6 +46,8 @@
     /// Settings of the scheduler, which may change while the node runs.
     dispatch: RefCell<DispatchOptions>,
     state: RefCell<State>,
+    /// How long the store takes to answer the owner's writes.
+    write_times: Cell<AnswerTimes>,
     /// Wakes the owner loop.
     owner_wakeup: Notify,
     /// Wakes the intake writer.
@@ -65,6 +71,7 @@
             options,
             handle,
             state: RefCell::default(),
+            write_times: Cell::new(AnswerTimes::new(WRITE_REPEATS)),
             owner_wakeup: Notify::new(),
             intake_wakeup: Notify::new(),
             load_wakeup: Notify::new(),
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::load::OwnerLoad;
+use super::repeats::call_repeated;
 use super::{Node, unix_ms};
 use crate::dispatch::command::Command;
 use crate::dispatch::event::Outcome;
@@ -136,7 +137,11 @@
                 return false;
             }
             let begun = Instant::now();
-            match self.platform.store().append(topic, entries, Some(fence), None).await {
+            // The store carries out an append with a fence once, so it may be repeated while its answer is missing.
+            let append = async || self.platform.store().append(topic, entries, Some(fence), None).await;
+            let answered = call_repeated(&self.write_times, append).await;
+            (0..answered.repeats).for_each(|_| self.handle.meters.retried("write_answer_late"));
+            match answered.result {
                 Ok(_) => {
                     self.handle.meters.stored(begun.elapsed());
                     return true;
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -11,7 +11,7 @@
 use rattanfall_jobs::node::view::{Query, View};
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 #[tokio::test(start_paused = true)]
 async fn an_accepted_job_completes_and_every_node_shows_it() {
@@ -99,6 +99,28 @@
     .await;
 }
 
+/// Guards against work that stands still for the time limit of a call with each answer to the owner that is lost.
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_to_the_owner_delays_no_job_by_the_time_limit_of_a_call() {
+    let took = |fault: Fault| async move {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        Cluster::run(1, |cluster| async move {
+            cluster.set_fault(fault);
+            assert!(matches!(cluster.call(0, submit(1, 2)).await, Answer::Accepted(_)));
+            let accepted = Instant::now();
+            while cluster.call(0, read(1)).await != Answer::State(JobState::Completed) {
+                cluster.run_for(10).await;
+            }
+            assert_eq!(cluster.duplicate_starts(), 0);
+            sender.send(accepted.elapsed()).expect("the test waits");
+        })
+        .await;
+        receiver.recv().expect("the job completes")
+    };
+    let (without, with) = (took(Fault::None).await, took(Fault::LoseFirstAnswers).await);
+    assert!(with < without + Duration::from_millis(900), "{with:?} instead of {without:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_submission_that_the_store_refuses_is_refused_and_never_runs() {
     Cluster::run(1, |cluster| async move {
@@ -120,7 +142,7 @@
         cluster.set_fault(Fault::Unavailable);
         cluster.run_for(3_000).await;
         assert!(!cluster.ready(0));
-        let begun = tokio::time::Instant::now();
+        let begun = Instant::now();
         assert!(matches!(cluster.call(0, submit(1, 1)).await, Answer::Refused(..)));
         assert!(begun.elapsed() < Duration::from_millis(50));
         cluster.set_fault(Fault::None);
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -45,6 +45,8 @@
     Refuse,
     /// Appends are executed without an answer.
     LoseAnswers,
+    /// The first answer to each append with a fence is lost.
+    LoseFirstAnswers,
     /// Appends to the intake are executed seconds later, without an answer.
     DelayIntake,
     /// Calls are neither executed nor answered.
@@ -316,10 +318,18 @@
                 self.append_late(entries.to_vec());
                 std::future::pending::<()>().await;
             }
-            let result = self.shared.borrow_mut().logs.entry(topic).or_default().append(entries, fence, at);
+            let (result, is_new) = {
+                let mut shared = self.shared.borrow_mut();
+                let log = shared.logs.entry(topic).or_default();
+                let before = log.entries.len();
+                let result = log.append(entries, fence, at);
+                (result, log.entries.len() > before)
+            };
             if result.is_ok() {
                 self.appended.notify_waiters();
-                if self.shared.borrow().fault == Fault::LoseAnswers {
+                let fault = self.shared.borrow().fault;
+                let first = is_new && fence.is_some();
+                if fault == Fault::LoseAnswers || fault == Fault::LoseFirstAnswers && first {
                     std::future::pending::<()>().await;
                 }
             }
