Search once a pass for workers that the list of machines doesn't name

Cause: for each machine with an order whose listed worker is unknown, may_have_runs compared the id of each worker with runs in the pool and zone with each row of the list, in each pass and for each order that was sent.

Change: the pools and availability zones that have such a worker are found once for a pass, or for the orders of one write, and only if a machine needs them. The decisions are the same.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -77,6 +77,8 @@
     pub polls: u64,
     /// Workers examined while placing tasks.
     pub examined: u64,
+    /// Machines and workers examined while deciding on orders to machines.
+    pub searched: u64,
     /// Requests to the queues' policy.
     pub policy_requests: u64,
     /// Requests to the queues' policy without a usable answer.
@@ -435,9 +437,10 @@
                 self.send_start(now, key, task);
             }
         }
+        let mut unnamed = None;
         while self.unstored_orders.front().is_some_and(|(number, _)| *number <= write.number) {
             if let Some((_, order)) = self.unstored_orders.pop_front() {
-                self.send_order(now, order);
+                self.send_order(now, order, &mut unnamed);
             }
         }
         for worker in self.workers.values_mut() {
--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -4,7 +4,7 @@
 use super::super::super::Dispatcher;
 use super::super::super::worker::{Run, WorkerKey};
 use super::super::placing::Choice;
-use super::{Goal, Stage};
+use super::{Goal, Stage, UnnamedWorkers};
 use crate::ids::TaskId;
 use crate::table::TaskState;
 
@@ -21,22 +21,33 @@
             let Some(order) = &row.order else { continue };
             machines.push((name.clone(), order.stage, order.goal.clone(), self.machine_worker(row)));
         }
+        let mut unnamed = None;
         for (name, stage, goal, worker) in machines {
             match stage {
-                Stage::Emptying(since) => self.empty_machine(now, &name, since, &goal, worker),
+                Stage::Emptying(since) => {
+                    self.empty_machine(now, &name, since, &goal, worker, &mut unnamed);
+                }
                 Stage::Waiting(at) if at <= now => self.order_machine(&name),
                 Stage::Waiting(_) | Stage::Ordered | Stage::Taken(_) => {}
             }
         }
     }
 
-    fn empty_machine(&mut self, now: u64, name: &str, since: u64, goal: &Goal, key: Option<WorkerKey>) {
+    fn empty_machine(
+        &mut self,
+        now: u64,
+        name: &str,
+        since: u64,
+        goal: &Goal,
+        key: Option<WorkerKey>,
+        unnamed: &mut Option<UnnamedWorkers>,
+    ) {
         let runs: Vec<(TaskId, bool, bool)> = key
             .and_then(|key| self.workers.get(key))
             .map(|w| w.runs.iter().map(|(task, run)| (*task, run.long_running, run.stopping)).collect())
             .unwrap_or_default();
         if runs.is_empty() {
-            if self.fleet.rows.get(name).is_some_and(|row| !self.may_have_runs(row)) {
+            if !self.may_have_runs(name, unnamed) {
                 self.order_machine(name);
             }
             return;
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod emptying;
 mod moves;
+mod unnamed;
 mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,6 +21,7 @@
 use crate::table::Placement;
 
 pub(in super::super) use demand::Demand;
+pub(in super::super) use unnamed::UnnamedWorkers;
 pub use upkeep::WaveProgress;
 pub(in super::super) use upkeep::WaveState;
 
@@ -207,20 +209,6 @@
         self.worker_key(row.machine.worker.as_deref()?)
     }
 
-    /// True if a machine may have runs. If its listed worker is unknown, the machine may have started another one since the list was
-    /// read: any with runs that the list doesn't name may be on it.
-    pub(super) fn may_have_runs(&self, row: &MachineRow) -> bool {
-        if let Some(worker) = self.machine_worker(row).and_then(|key| self.workers.get(key)) {
-            return !worker.runs.is_empty();
-        }
-        let named = |id: &str| self.fleet.rows.values().any(|row| row.machine.worker.as_deref() == Some(id));
-        let (pool, zone) = (&row.machine.pool, &row.machine.zone);
-        let candidates = self.workers.values().filter(|worker| !worker.runs.is_empty());
-        candidates
-            .map(|worker| &worker.record)
-            .any(|record| record.pool == *pool && record.zone == *zone && !named(&record.worker))
-    }
-
     fn update_idle(&mut self, now: u64) {
         let mut rows = std::mem::take(&mut self.fleet.rows);
         for row in rows.values_mut() {
@@ -264,10 +252,14 @@
 
     /// Sends an order, or empties the machine again if its worker has got runs since. An order that the machine no longer
     /// has is not sent.
-    pub(in super::super) fn send_order(&mut self, now: u64, sent: MachineOrder) {
+    pub(in super::super) fn send_order(
+        &mut self,
+        now: u64,
+        sent: MachineOrder,
+        unnamed: &mut Option<UnnamedWorkers>,
+    ) {
         let name = sent.machine.as_str();
-        let Some(row) = self.fleet.rows.get(name) else { return };
-        let busy = self.may_have_runs(row);
+        let busy = self.may_have_runs(name, unnamed);
         let order = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut());
         let Some(order) = order.filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod directory;
+pub(crate) mod large;
 mod policy;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
