Count the available machines of a pool once for a wave

Cause: for each machine of a wave that isn't urgent, all machines were counted to see whether its pool can spare it. Besides, the name of each machine without an order was looked for in the list of the wave before its state was compared.

Change: the count is made once for a pool and reduced by each order given; the state is compared first. The decisions are the same.

--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -1,7 +1,7 @@
 //! Waves of upkeep: every machine of a wave is maintained in time, a few at once, those with the least effect
 //! on running tasks first.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -98,8 +98,8 @@
         // Orders of a former owner show only in the list, or are too recent to show there.
         let ordered_before = |row: &MachineRow| {
             row.order.is_none()
-                && wave.plan.machines.contains(&row.machine.name)
                 && (row.machine.state == MachineState::Upkeep || row.handover_until > now)
+                && wave.plan.machines.contains(&row.machine.name)
         };
         let ordered = |row: &MachineRow| row.order.as_ref().is_some_and(|order| order.goal == goal);
         let busy = self.fleet.rows.values().filter(|row| ordered(row) || ordered_before(row)).count();
@@ -118,13 +118,19 @@
             .map(|(name, row)| (self.upkeep_cost(now, row), name.clone()))
             .collect();
         candidates.sort_unstable();
+        let mut available: BTreeMap<String, u64> = BTreeMap::new();
         for (cost, name) in candidates {
             if slots == 0 {
                 break;
             }
             let Some(pool) = self.fleet.rows.get(&name).map(|row| row.machine.pool.clone()) else { continue };
-            if cost > 0 && !urgent && !self.pool_can_spare(now, &pool) {
-                continue;
+            if cost > 0 && !urgent {
+                let left = available.entry(pool.clone()).or_insert_with(|| self.count_available(now, &pool));
+                let want = self.fleet.demand.get(&pool).map_or(0, |demand| demand.machines);
+                if *left <= want {
+                    continue;
+                }
+                *left -= 1;
             }
             if self.fleet.give_order(now, &name, goal.clone()).is_some() {
                 log::info!(machine = name.as_str(), wave = number, cost = cost, pressing = urgent; "the machine is emptied for upkeep");
@@ -151,13 +157,11 @@
         1 + long_running * 100 + worker.runs.len() as u64
     }
 
-    /// True if a pool has more available machines than it needs.
-    fn pool_can_spare(&self, now: u64, pool: &str) -> bool {
-        let serving =
-            self.fleet.rows.values().filter(|row| row.machine.pool == pool && row.is_available(now)).count()
-                as u64;
-        let want = self.fleet.demand.get(pool).map_or(0, |demand| demand.machines);
-        serving > want
+    /// Number of available machines of a pool.
+    fn count_available(&mut self, now: u64, pool: &str) -> u64 {
+        self.counters.searched += self.fleet.rows.len() as u64;
+        let rows = self.fleet.rows.values();
+        rows.filter(|row| row.machine.pool == pool && row.is_available(now)).count() as u64
     }
 
     fn report_wave(&mut self, now: u64, number: u64, complete: bool) {
--- a/crates/jobs/tests/fleet_cost.rs
+++ b/crates/jobs/tests/fleet_cost.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use rattanfall_jobs::dispatch::event::Wave;
 use support::World;
 use support::large::waiting_fleet;
 
@@ -22,3 +23,18 @@
     assert!(small > 0, "no machine waits");
     assert!(large <= 4 * small, "{small} examined of 349, {large} of 1,100");
 }
+
+/// Guards against a count of all machines for each machine of a wave that its pool can't spare.
+#[test]
+fn the_search_for_machines_to_spare_grows_in_proportion_to_the_fleet() {
+    let [small, large] = [349, 1_100].map(|machines| {
+        let mut world = waiting_fleet(machines);
+        let names: Vec<String> = world.machines.keys().cloned().collect();
+        let most = u32::try_from(names.len()).expect("a small number");
+        let plan = Wave { number: 2, machines: names, within_ms: 600_000, most };
+        world.dispatcher.plan_wave(world.now, plan);
+        examined(&mut world)
+    });
+    assert!(small > 0, "no machine waits");
+    assert!(large <= 4 * small, "{small} examined of 349, {large} of 1,100");
+}
