End the wait for a worker that the list of machines never names

Cause: a machine with an order whose listed worker is unknown waits for each worker of its pool and availability zone that has runs and that the list doesn't name. One that answers, and whose machine has left the list, kept it waiting for as long as it had runs.

machine_orders::an_order_does_not_wait_for_a_worker_that_is_on_no_listed_machine failed before: no upkeep within the 10 s of the wave. Three more tests keep an order from being sent too early; they were not run on the former logic in this form.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -9,7 +9,7 @@
 mod unnamed;
 mod upkeep;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::super::Dispatcher;
 use super::super::command::{Command, MachineOrder};
@@ -39,6 +39,9 @@
 /// Time for which a machine gets no order after it was busy, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 800;
 
+/// Number of the last lists of machines whose times are known. Their span is longer than the time between two answers of a worker.
+const KNOWN_LISTS: usize = 16;
+
 /// Purpose of an order to a machine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(in super::super) enum Goal {
@@ -74,6 +77,8 @@
     pub(super) begun: bool,
     /// Time at which it was last sent.
     sent: u64,
+    /// True once it had to wait for a worker that the list doesn't name.
+    delayed: bool,
 }
 
 impl Order {
@@ -96,6 +101,15 @@
     pub(super) blocked_until: u64,
     /// True if the last list lacked it.
     unlisted: bool,
+    /// Request of the first list from which on all lists show it, with the same worker.
+    unchanged_since: u64,
+}
+
+/// Times of a list of machines.
+#[derive(Clone, Copy, Debug)]
+struct ListTimes {
+    asked: u64,
+    read: u64,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -109,6 +123,8 @@
     last_order: u64,
     /// Time at which the last list of machines was requested.
     list_asked: Option<u64>,
+    /// Last lists of machines, the newest one last.
+    lists: VecDeque<ListTimes>,
 }
 
 impl Fleet {
@@ -117,7 +133,8 @@
         let row = self.rows.get_mut(name)?;
         self.last_order += 1;
         let (number, stage) = (self.last_order, Stage::Emptying(now));
-        row.order = Some(Order { number, goal, stage, emptied: None, begun: false, sent: now });
+        row.order =
+            Some(Order { number, goal, stage, emptied: None, begun: false, sent: now, delayed: false });
         Some(&row.machine)
     }
 }
@@ -137,13 +154,20 @@
     /// meanwhile may lack a machine or have it twice, so a machine is gone only if two lists in a row lack it.
     pub fn set_machines(&mut self, now: u64, asked: u64, machines: Vec<Machine>) {
         self.fleet.list_asked = Some(asked);
+        self.fleet.lists.push_back(ListTimes { asked, read: now });
+        if self.fleet.lists.len() > KNOWN_LISTS {
+            self.fleet.lists.pop_front();
+        }
         let mut old = std::mem::take(&mut self.fleet.rows);
         for machine in machines {
-            let known = old.remove(&machine.name).or_else(|| self.fleet.rows.remove(&machine.name));
+            let before = old.remove(&machine.name);
+            let same = before.as_ref().filter(|row| !row.unlisted && row.machine.worker == machine.worker);
+            let unchanged_since = same.map_or(asked, |row| row.unchanged_since);
+            let known = before.or_else(|| self.fleet.rows.remove(&machine.name));
             let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    MachineRow { machine, unlisted: false, ..row }
+                    MachineRow { machine, unlisted: false, unchanged_since, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
@@ -155,6 +179,7 @@
                         handover_until,
                         blocked_until,
                         unlisted: false,
+                        unchanged_since,
                     }
                 }
             };
@@ -163,7 +188,7 @@
         for (name, row) in old {
             log::info!(machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
             if !row.unlisted {
-                self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
+                self.fleet.rows.insert(name, MachineRow { unlisted: true, unchanged_since: u64::MAX, ..row });
             }
         }
         self.mark_emptying();
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -178,6 +178,8 @@
 /// Answer of a worker to a poll.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Contact {
+    /// Steady clock at the first answer of its process, in milliseconds.
+    pub since: u64,
     /// Latest time at which the worker is known to have been up.
     pub at: Moment,
     /// The worker's clock, in milliseconds.
@@ -298,7 +300,8 @@
     /// process, so only the time at which it was asked for counts.
     pub fn record_contact(&mut self, sent: Moment, at: Moment, wait_ms: u64, clock_ms: u64) {
         let prompt = at.since(sent) <= wait_ms + CONTACT_MS;
-        self.contact = Some(Contact { at: if prompt { at } else { sent }, read: at.steady, clock_ms });
+        let since = self.contact.map_or(at.steady, |contact| contact.since);
+        self.contact = Some(Contact { since, at: if prompt { at } else { sent }, read: at.steady, clock_ms });
     }
 
     /// Has it polled at once, or as soon as the poll under way has an outcome.
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::event::Outcome;
+use rattanfall_jobs::dispatch::event::{MachineState, Outcome};
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::spec::Step;
 use rattanfall_jobs::table::JobState;
@@ -298,3 +298,102 @@
     assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// World in which the listed worker of `red-00` is gone, and all other workers have a task that lasts. The machine of one of
+/// them, in the same availability zone, has left the list.
+fn world_with_unlisted_worker() -> World {
+    let mut world = world(4, 0);
+    world.machines.remove("red-03").expect("the machine is listed");
+    world.crash("red-00");
+    let (machine, back) = world.machines.get_mut("red-00").expect("the machine is listed");
+    machine.state = MachineState::Up;
+    machine.worker = Some("former".into());
+    *back = None;
+    world.submit(job(1, vec![Step { long_running: true, ..step(3, cores(16), 1_000) }]));
+    run_checked(&mut world, 1_000);
+    assert_eq!(world.at_work(1), 3);
+    world
+}
+
+/// Guards against a wave that never ends: a machine waits for the runs of a worker that the list of machines never names.
+#[test]
+fn an_order_does_not_wait_for_a_worker_that_is_on_no_listed_machine() {
+    let mut world = world_with_unlisted_worker();
+    world.plan_wave(&["red-00"], 1, 10_000);
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert_eq!(world.published.get(&1), Some(&true));
+    assert_eq!(world.at_work(1), 3);
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+}
+
+/// Guards against an order that ends the runs of a worker, because one list of machines doesn't name it.
+#[test]
+fn an_order_waits_after_one_list_that_lacks_the_worker_of_a_machine() {
+    let mut world = world(1, 0);
+    world.submit(job(1, vec![step(4, cores(2), 3_000)]));
+    run_checked(&mut world, 1_300);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    world.machines_unread = true;
+    let mut list = world.list_machines();
+    list[0].worker = None;
+    world.dispatcher.set_machines(world.now, world.now, list);
+    run_checked(&mut world, 1_300);
+    assert_eq!(world.upkeeps, []);
+    world.machines_unread = false;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against an order that ends the runs of a worker whose process is newer than the last lists of machines.
+#[test]
+fn an_order_waits_for_lists_that_are_newer_than_a_worker() {
+    let mut world = world(1, 0);
+    world.machines_unread = true;
+    world.crash("red-00");
+    run_until(&mut world, "restart", |world| !world.workers.is_empty());
+    let mut list = world.list_machines();
+    list[0].worker = None;
+    world.submit(job(1, vec![step(4, cores(2), 2_400)]));
+    run_until(&mut world, "start", |world| world.starts.len() == 4);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    for _ in 0..3 {
+        run_checked(&mut world, 250);
+        world.dispatcher.set_machines(world.now, world.now, list.clone());
+    }
+    run_checked(&mut world, 1_000);
+    assert_eq!(world.upkeeps, []);
+    world.machines_unread = false;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against an order that ends the runs of a worker whose process has restarted since the lists that don't name it.
+#[test]
+fn an_order_waits_for_lists_that_are_newer_than_a_restart() {
+    let mut world = world(1, 0);
+    world.submit(job(1, vec![step(4, cores(2), 2_400)]));
+    run_checked(&mut world, 2_000);
+    world.machines_unread = true;
+    let worker = world.worker_on("red-00");
+    let record = world.kill_worker(&worker);
+    world.dispatcher.set_machines(world.now, world.now, world.list_machines());
+    run_checked(&mut world, 200);
+    world.dispatcher.set_machines(world.now, world.now, world.list_machines());
+    run_checked(&mut world, 200);
+    world.restart_worker(record);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    let former = world.starts.len();
+    run_until(&mut world, "start on the next process", |world| world.starts.len() == former + 4);
+    run_checked(&mut world, 1_500);
+    assert_eq!(world.upkeeps, []);
+    world.machines_unread = false;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), former + 4, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
