--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -6,9 +6,10 @@
 mod demand;
 mod emptying;
 mod moves;
+mod unnamed;
 mod upkeep;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::super::Dispatcher;
 use super::super::command::{Command, MachineOrder};
@@ -20,6 +21,7 @@
 use crate::table::Placement;
 
 pub(in super::super) use demand::Demand;
+pub(in super::super) use unnamed::UnnamedWorkers;
 pub use upkeep::WaveProgress;
 pub(in super::super) use upkeep::WaveState;
 
@@ -37,6 +39,9 @@
 /// Time for which a machine gets no order after it was busy, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 800;
 
+/// Number of the last lists of machines whose times are known. Their span is longer than the time between two answers of a worker.
+const KNOWN_LISTS: usize = 16;
+
 /// Purpose of an order to a machine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(in super::super) enum Goal {
@@ -72,6 +77,8 @@
     pub(super) begun: bool,
     /// Time at which it was last sent.
     sent: u64,
+    /// True once it had to wait for a worker that the list doesn't name.
+    delayed: bool,
 }
 
 impl Order {
@@ -94,6 +101,15 @@
     pub(super) blocked_until: u64,
     /// True if the last list lacked it.
     unlisted: bool,
+    /// Request of the first list from which on all lists show it, with the same worker.
+    unchanged_since: u64,
+}
+
+/// Times of a list of machines.
+#[derive(Clone, Copy, Debug)]
+struct ListTimes {
+    asked: u64,
+    read: u64,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -107,6 +123,8 @@
     last_order: u64,
     /// Time at which the last list of machines was requested.
     list_asked: Option<u64>,
+    /// Last lists of machines, the newest one last.
+    lists: VecDeque<ListTimes>,
 }
 
 impl Fleet {
@@ -115,7 +133,8 @@
         let row = self.rows.get_mut(name)?;
         self.last_order += 1;
         let (number, stage) = (self.last_order, Stage::Emptying(now));
-        row.order = Some(Order { number, goal, stage, emptied: None, begun: false, sent: now });
+        row.order =
+            Some(Order { number, goal, stage, emptied: None, begun: false, sent: now, delayed: false });
         Some(&row.machine)
     }
 }
@@ -135,13 +154,20 @@
     /// meanwhile may lack a machine or have it twice, so a machine is gone only if two lists in a row lack it.
     pub fn set_machines(&mut self, now: u64, asked: u64, machines: Vec<Machine>) {
         self.fleet.list_asked = Some(asked);
+        self.fleet.lists.push_back(ListTimes { asked, read: now });
+        if self.fleet.lists.len() > KNOWN_LISTS {
+            self.fleet.lists.pop_front();
+        }
         let mut old = std::mem::take(&mut self.fleet.rows);
         for machine in machines {
-            let known = old.remove(&machine.name).or_else(|| self.fleet.rows.remove(&machine.name));
+            let before = old.remove(&machine.name);
+            let same = before.as_ref().filter(|row| !row.unlisted && row.machine.worker == machine.worker);
+            let unchanged_since = same.map_or(asked, |row| row.unchanged_since);
+            let known = before.or_else(|| self.fleet.rows.remove(&machine.name));
             let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    MachineRow { machine, unlisted: false, ..row }
+                    MachineRow { machine, unlisted: false, unchanged_since, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
@@ -153,6 +179,7 @@
                         handover_until,
                         blocked_until,
                         unlisted: false,
+                        unchanged_since,
                     }
                 }
             };
@@ -161,7 +188,7 @@
         for (name, row) in old {
             log::info!(machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
             if !row.unlisted {
-                self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
+                self.fleet.rows.insert(name, MachineRow { unlisted: true, unchanged_since: u64::MAX, ..row });
             }
         }
         self.mark_emptying();
@@ -207,20 +234,6 @@
         self.worker_key(row.machine.worker.as_deref()?)
     }
 
-    /// True if a machine may have runs. If its listed worker is unknown, the machine may have started another one since the list was
-    /// read: any with runs that the list doesn't name may be on it.
-    pub(super) fn may_have_runs(&self, row: &MachineRow) -> bool {
-        if let Some(worker) = self.machine_worker(row).and_then(|key| self.workers.get(key)) {
-            return !worker.runs.is_empty();
-        }
-        let named = |id: &str| self.fleet.rows.values().any(|row| row.machine.worker.as_deref() == Some(id));
-        let (pool, zone) = (&row.machine.pool, &row.machine.zone);
-        let candidates = self.workers.values().filter(|worker| !worker.runs.is_empty());
-        candidates
-            .map(|worker| &worker.record)
-            .any(|record| record.pool == *pool && record.zone == *zone && !named(&record.worker))
-    }
-
     fn update_idle(&mut self, now: u64) {
         let mut rows = std::mem::take(&mut self.fleet.rows);
         for row in rows.values_mut() {
@@ -264,10 +277,14 @@
 
     /// Sends an order, or empties the machine again if its worker has got runs since. An order that the machine no longer
     /// has is not sent.
-    pub(in super::super) fn send_order(&mut self, now: u64, sent: MachineOrder) {
+    pub(in super::super) fn send_order(
+        &mut self,
+        now: u64,
+        sent: MachineOrder,
+        unnamed: &mut Option<UnnamedWorkers>,
+    ) {
         let name = sent.machine.as_str();
-        let Some(row) = self.fleet.rows.get(name) else { return };
-        let busy = self.may_have_runs(row);
+        let busy = self.may_have_runs(name, unnamed);
         let order = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut());
         let Some(order) = order.filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
