Give log lines of decisions a budget of their own

Cause: all lines of a process shared 400 a second and 20 for each place, then 1,000 and one queue in the writer. In a surge the lines of requests and jobs used these up, so answers to machine orders, moves and removed runs were dropped just when they decided.

Change: lines about machines, workers and runs are logged with the target `rattanfall_jobs::decisions`. `log lines were dropped` names the class.

Two tests of the writer name a class now and check the same.

--- a/crates/entry/src/logs/limiter.rs
+++ b/crates/entry/src/logs/limiter.rs
@@ -1,19 +1,26 @@
-//! Rate limit of log records, checked before they are formatted.
+//! Rate limits of log records, checked before they are formatted.
 //!
-//! A surge makes a few kinds of lines frequent. They share a limit per second, so that logging does not slow the work. Each
-//! place in the code may log some lines beyond it, so that frequent kinds do not hide rare ones.
+//! A surge makes a few kinds of lines frequent. The lines of a class share a limit per second, so that logging does not slow
+//! the work. Each place in the code may log some lines beyond it, so that frequent kinds do not hide rare ones. Decisions
+//! have limits of their own, so that lines of each request or job do not hide them.
 
 use std::collections::HashMap;
+use std::io::{self, Write};
 use std::time::{Duration, Instant};
 
 use env_logger::Logger;
-use log::{Level, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use parking_lot::Mutex;
 
+use super::writer::RateLimitedWriter;
+use super::{Class, pipe};
+
+/// Most lines of a class per second that are handed to the writer, whatever places they come from.
+const MAX_LINES_PER_SECOND: usize = 1_000;
 /// Window of the limits.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Most records in a window.
+/// Most records of a class in a window.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Records of all places in the code.
@@ -25,7 +32,7 @@
 /// Place in the code that logs: file and line.
 type Place = (&'static str, u32);
 
-/// Counts the records of a window.
+/// Counts the records of a class in a window.
 #[derive(Debug)]
 pub struct RateLimiter {
     limits: Limits,
@@ -67,53 +74,91 @@
     }
 }
 
-/// Logger that drops records above the limits and reports how many.
-pub(super) struct LimitedLogger {
-    logger: Logger,
-    limiter: Mutex<RateLimiter>,
+/// Logger that drops records above the limits of their class and reports how many.
+pub struct LimitedLogger {
+    decisions: &'static str,
+    loggers: [Logger; 2],
+    limiters: Mutex<[RateLimiter; 2]>,
 }
 
 impl LimitedLogger {
-    pub(super) fn new(logger: Logger, limits: Limits) -> Self {
-        Self { logger, limiter: Mutex::new(RateLimiter::new(limits, Instant::now())) }
+    /// Starts a thread that writes to `output`. Records with the target `decisions` are of [`Class::Decision`]; `limits` are
+    /// those of [`Class::ALL`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread cannot be started.
+    pub fn new(
+        filter: &str,
+        decisions: &'static str,
+        limits: [Limits; 2],
+        output: impl Write + Send + 'static,
+    ) -> io::Result<Self> {
+        let writer = RateLimitedWriter::new(output, Class::Decision, MAX_LINES_PER_SECOND)?;
+        let other = writer.beside(Class::Other, MAX_LINES_PER_SECOND);
+        let loggers = [writer, other].map(|writer| pipe(filter, writer));
+        let now = Instant::now();
+        Ok(Self {
+            decisions,
+            loggers,
+            limiters: Mutex::new(limits.map(|limits| RateLimiter::new(limits, now))),
+        })
+    }
+
+    /// Most verbose level that passes the filter.
+    #[must_use]
+    pub fn filter(&self) -> LevelFilter {
+        self.logger(Class::Other).filter()
+    }
+
+    fn logger(&self, class: Class) -> &Logger {
+        &self.loggers[class as usize]
+    }
+
+    fn class(&self, metadata: &Metadata<'_>) -> Class {
+        if metadata.target() == self.decisions { Class::Decision } else { Class::Other }
     }
 
-    fn report(&self, dropped: usize) {
-        let lines = [("lines", dropped)];
+    fn report(&self, class: Class, dropped: usize) {
+        let values: [(&str, log::kv::Value<'_>); 2] =
+            [("class", class.name().into()), ("lines", dropped.into())];
         let notice = Record::builder()
             .level(Level::Warn)
             .target(module_path!())
-            .key_values(&lines)
+            .key_values(&values)
             .args(format_args!("log lines were dropped"))
             .build();
-        self.logger.log(&notice);
+        self.logger(class).log(&notice);
     }
 }
 
 impl Log for LimitedLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        self.logger.enabled(metadata)
+        self.logger(self.class(metadata)).enabled(metadata)
     }
 
     fn log(&self, record: &Record<'_>) {
-        if !self.logger.matches(record) {
+        let class = self.class(record.metadata());
+        let logger = self.logger(class);
+        if !logger.matches(record) {
             return;
         }
         let now = Instant::now();
         let place = (record.file_static().unwrap_or(""), record.line().unwrap_or(0));
         let (dropped, passes) = {
-            let mut limiter = self.limiter.lock();
-            (limiter.advance(now), limiter.admit(place))
+            let mut limiters = self.limiters.lock();
+            let dropped = Class::ALL.map(|class| limiters[class as usize].advance(now));
+            (dropped, limiters[class as usize].admit(place))
         };
-        if dropped > 0 {
-            self.report(dropped);
+        for (class, dropped) in Class::ALL.into_iter().zip(dropped).filter(|(_, dropped)| *dropped > 0) {
+            self.report(class, dropped);
         }
         if passes {
-            self.logger.log(record);
+            logger.log(record);
         }
     }
 
     fn flush(&self) {
-        self.logger.flush();
+        self.loggers.iter().for_each(Logger::flush);
     }
 }
--- a/crates/entry/src/logs/mod.rs
+++ b/crates/entry/src/logs/mod.rs
@@ -1,5 +1,6 @@
 //! Logging as JSON, one object per line.
 
+mod class;
 mod limiter;
 mod writer;
 
@@ -11,15 +12,13 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::Map;
 
-use limiter::LimitedLogger;
-pub use limiter::{Limits, RateLimiter};
+pub use class::Class;
+pub use limiter::{LimitedLogger, Limits, RateLimiter};
 pub use writer::RateLimitedWriter;
 
-/// Most log lines of [`start_bounded`] per second. A busy second stays below the total, and writing as many takes less
-/// than a tenth of a small instance's processor.
-const LIMITS: Limits = Limits { total: 400, each: 20 };
-/// Most lines per second that are handed to the writer, whatever places they come from.
-const MAX_LINES_PER_SECOND: usize = 1_000;
+/// Limits of [`start_bounded`] for the decisions and the other lines. A busy second stays below the totals, and writing as
+/// many takes less than a tenth of a small instance's processor.
+const LIMITS: [Limits; 2] = [Limits { total: 800, each: 100 }, Limits { total: 400, each: 20 }];
 
 /// Starts logging to standard error with a filter such as `info` or `rattanfall_entry=debug`. Later calls have no
 /// effect.
@@ -27,16 +26,16 @@
     start_on(filter, Target::Stderr);
 }
 
-/// Starts logging to standard output with a rate limit and without blocking the caller.
+/// Starts logging to standard output with rate limits and without blocking the caller. Records with the target
+/// `decisions` are of [`Class::Decision`].
 ///
 /// # Errors
 ///
 /// Fails if the writer thread cannot be started.
-pub fn start_bounded(filter: &str) -> std::io::Result<()> {
-    let writer = RateLimitedWriter::new(std::io::stdout(), MAX_LINES_PER_SECOND)?;
-    let logger = builder(filter, Target::Pipe(Box::new(writer))).build();
+pub fn start_bounded(filter: &str, decisions: &'static str) -> std::io::Result<()> {
+    let logger = LimitedLogger::new(filter, decisions, LIMITS, std::io::stdout())?;
     let level = logger.filter();
-    if log::set_boxed_logger(Box::new(LimitedLogger::new(logger, LIMITS))).is_ok() {
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
         log::set_max_level(level);
     }
     Ok(())
@@ -46,6 +45,11 @@
     let _ = builder(filter, target).try_init();
 }
 
+/// Logger that hands its lines to a writer.
+fn pipe(filter: &str, writer: RateLimitedWriter) -> env_logger::Logger {
+    builder(filter, Target::Pipe(Box::new(writer))).build()
+}
+
 fn builder(filter: &str, target: Target) -> env_logger::Builder {
     let mut builder = env_logger::Builder::new();
     builder.parse_filters(filter).target(target);
--- a/crates/entry/tests/log_writer.rs
+++ b/crates/entry/tests/log_writer.rs
@@ -1,10 +1,16 @@
 //! The log writer limits the rate of lines and never blocks the process.
 
 use std::io::{self, Write};
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use rattanfall_entry::logs::{Limits, RateLimitedWriter, RateLimiter};
+use log::{Level, Log, Record};
+use rattanfall_entry::logs::{Class, LimitedLogger, Limits, RateLimitedWriter, RateLimiter};
+
+/// Target of the decisions.
+const DECISIONS: &str = "decisions";
+/// Time limit for lines that are due.
+const WAIT: Duration = Duration::from_secs(5);
 
 /// Output that sends each line to a channel.
 struct ChannelOutput(Sender<String>);
@@ -37,11 +43,30 @@
     }
 }
 
+/// Output that takes no lines until it is opened.
+struct GatedOutput {
+    /// Open once its sender is dropped.
+    gate: Receiver<()>,
+    output: ChannelOutput,
+}
+
+impl Write for GatedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.gate.recv();
+        self.output.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Guards against an unlimited number of log lines, and against lines that are dropped without a count.
 #[test]
 fn lines_above_the_limit_per_second_are_dropped_and_counted() {
     let (sender, lines) = channel();
-    let mut writer = RateLimitedWriter::new(ChannelOutput(sender), 3).expect("the thread starts");
+    let mut writer =
+        RateLimitedWriter::new(ChannelOutput(sender), Class::Other, 3).expect("the thread starts");
     for number in 0..10 {
         writer.write_all(format!("{number}\n").as_bytes()).expect("it never fails");
     }
@@ -58,7 +83,8 @@
 /// Guards against a process that stops because the reader of its log output has stopped reading.
 #[test]
 fn an_output_that_nobody_reads_does_not_block() {
-    let mut writer = RateLimitedWriter::new(BlockedOutput, usize::MAX).expect("the thread starts");
+    let mut writer =
+        RateLimitedWriter::new(BlockedOutput, Class::Other, usize::MAX).expect("the thread starts");
     let start = Instant::now();
     for _ in 0..20_000 {
         writer.write_all(b"line\n").expect("it never fails");
@@ -78,3 +104,117 @@
     assert_eq!(limiter.advance(start + Duration::from_secs(1)), 21);
     assert!(limiter.admit(("placing.rs", 1)));
 }
+
+/// Logs a record of a line of this file.
+fn record(logger: &impl Log, target: &str, line: u32, message: &str) {
+    let mut record = Record::builder();
+    record.level(Level::Info).target(target).file_static(Some(file!())).line(Some(line));
+    logger.log(&record.args(format_args!("{message}")).build());
+}
+
+/// Returns the lines up to the one with a message, without it.
+fn lines_until(lines: &Receiver<String>, message: &str) -> Vec<serde_json::Value> {
+    let parsed = std::iter::from_fn(|| lines.recv_timeout(WAIT).ok())
+        .map(|line| serde_json::from_str(&line).expect("a line is JSON"));
+    parsed.take_while(|line: &serde_json::Value| line["message"] != message).collect()
+}
+
+fn count(lines: &[serde_json::Value], message: &str) -> usize {
+    lines.iter().filter(|line| line["message"] == message).count()
+}
+
+/// Guards against answers to machine orders that are missing from the log of a surge, as in issue 41: the frequent lines
+/// come first in each window, and one place logs most decisions.
+#[test]
+fn decisions_pass_while_other_lines_are_dropped() {
+    let (sender, lines) = channel();
+    let limits = [Limits { total: 800, each: 100 }, Limits { total: 400, each: 20 }];
+    let logger =
+        LimitedLogger::new("info", DECISIONS, limits, ChannelOutput(sender)).expect("the thread starts");
+    for _ in 0..1_500 {
+        record(&logger, "jobs", 1, "placed");
+    }
+    for _ in 0..400 {
+        record(&logger, DECISIONS, 2, "answered");
+        record(&logger, "jobs", 3, "ended");
+    }
+    record(&logger, DECISIONS, 4, "end");
+    let written = lines_until(&lines, "end");
+    let counts = ["placed", "answered", "ended"].map(|message| count(&written, message));
+    assert_eq!(counts, [400, 400, 20]);
+}
+
+/// Guards against decisions without a limit, against one kind of them that hides the others, and against drops that are not
+/// reported for each class.
+#[test]
+fn decisions_are_bounded_and_their_drops_are_reported() {
+    let (sender, lines) = channel();
+    let limits = [Limits { total: 50, each: 5 }, Limits { total: 10, each: 2 }];
+    let logger =
+        LimitedLogger::new("info", DECISIONS, limits, ChannelOutput(sender)).expect("the thread starts");
+    for _ in 0..200 {
+        record(&logger, DECISIONS, 1, "removed");
+    }
+    for _ in 0..20 {
+        record(&logger, DECISIONS, 2, "answered");
+        record(&logger, "jobs", 3, "placed");
+    }
+    std::thread::sleep(Duration::from_millis(1_050));
+    record(&logger, "jobs", 3, "end");
+    let written = lines_until(&lines, "end");
+    let counts = ["removed", "answered", "placed"].map(|message| count(&written, message));
+    assert_eq!(counts, [50, 5, 10]);
+    let notices = written.iter().filter(|line| line["message"] == "log lines were dropped");
+    let dropped: Vec<(&str, u64)> = notices
+        .map(|line| (line["class"].as_str().unwrap_or(""), line["lines"].as_u64().unwrap_or(0)))
+        .collect();
+    assert_eq!(dropped, [("decision", 165), ("other", 10)]);
+}
+
+/// Guards against a writer whose limit or queue is used up by frequent lines.
+#[test]
+fn classes_share_no_limit_of_the_writer() {
+    let (sender, lines) = channel();
+    let mut other =
+        RateLimitedWriter::new(ChannelOutput(sender), Class::Other, 3).expect("the thread starts");
+    let mut decisions = other.beside(Class::Decision, 2);
+    for _ in 0..10 {
+        other.write_all(b"other\n").expect("it never fails");
+    }
+    for _ in 0..5 {
+        decisions.write_all(b"decision\n").expect("it never fails");
+    }
+    std::thread::sleep(Duration::from_millis(1_050));
+    decisions.write_all(b"last\n").expect("it never fails");
+    let written: Vec<String> =
+        (0..7).map(|_| lines.recv_timeout(WAIT).expect("seven lines are due")).collect();
+    assert_eq!(written[..5], ["other\n", "other\n", "other\n", "decision\n", "decision\n"]);
+    assert!(
+        written[5].contains("\"class\":\"decision\"") && written[5].contains("\"lines\":3"),
+        "{}",
+        written[5]
+    );
+    assert_eq!(written[6], "last\n");
+}
+
+/// Guards against a queue that frequent lines fill while the output is slow, so that decisions are dropped.
+#[test]
+fn a_full_queue_of_other_lines_leaves_room_for_decisions() {
+    let (sender, lines) = channel();
+    let (open, gate) = channel();
+    let output = GatedOutput { gate, output: ChannelOutput(sender) };
+    let mut other = RateLimitedWriter::new(output, Class::Other, usize::MAX).expect("the thread starts");
+    let mut decisions = other.beside(Class::Decision, usize::MAX);
+    for _ in 0..20_000 {
+        other.write_all(b"other\n").expect("it never fails");
+    }
+    for _ in 0..1_000 {
+        decisions.write_all(b"decision\n").expect("it never fails");
+    }
+    decisions.write_all(b"last\n").expect("it never fails");
+    drop(open);
+    let all = std::iter::from_fn(|| lines.recv_timeout(WAIT).ok());
+    let written: Vec<String> = all.take_while(|line| line != "last\n").collect();
+    assert_eq!(written.iter().filter(|line| *line == "decision\n").count(), 1_000);
+    assert!(written.len() < 10_000, "{} lines were queued", written.len());
+}
--- a/crates/jobs/src/dispatch/systems/fleet/emptying.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/emptying.rs
@@ -5,6 +5,7 @@
 use super::super::super::worker::{Run, WorkerKey};
 use super::super::placing::Choice;
 use super::{Goal, Stage};
+use crate::DECISIONS;
 use crate::ids::TaskId;
 use crate::table::TaskState;
 
@@ -49,11 +50,11 @@
             }
             if long_running {
                 if self.may_interrupt(task) && self.fits_elsewhere(now, task) {
-                    log::info!(task:% = task, machine = name; "a long-running task moves to another worker");
+                    log::info!(target: DECISIONS, task:% = task, machine = name; "a long-running task moves to another worker");
                     self.stop_run(now, key, task);
                 }
             } else if !waits_for_runs && now > since + FINISH_TIMEOUT_MS {
-                log::info!(task:% = task, machine = name; "a task is stopped for the machine's upkeep");
+                log::info!(target: DECISIONS, task:% = task, machine = name; "a task is stopped for the machine's upkeep");
                 self.stop_run(now, key, task);
             }
         }
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -15,6 +15,7 @@
 use super::super::event::{Machine, MachineState};
 use super::super::worker::{Run, Worker, WorkerKey};
 use super::runs::Evidence;
+use crate::DECISIONS;
 use crate::ports::MachineOutcome;
 use crate::record::LastOrder;
 use crate::table::Placement;
@@ -159,7 +160,7 @@
             self.fleet.rows.insert(row.machine.name.clone(), row);
         }
         for (name, row) in old {
-            log::info!(machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
+            log::info!(target: DECISIONS, machine = name.as_str(), gone = row.unlisted; "the list lacks a machine");
             if !row.unlisted {
                 self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
             }
@@ -272,12 +273,12 @@
         let Some(order) = order.filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
         if busy && !order.begun {
-            log::info!(machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
+            log::info!(target: DECISIONS, machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
             order.stage = Stage::Emptying(now);
             return;
         }
         log::info!(
-            machine = name, order = sent.number, goal:? = order.goal, emptied = order.emptied_worker();
+            target: DECISIONS, machine = name, order = sent.number, goal:? = order.goal, emptied = order.emptied_worker();
             "the order is sent to the machine"
         );
         order.sent = now;
@@ -313,7 +314,7 @@
         let present = row.and_then(|row| row.order.as_ref()).filter(|order| order.number == answered.number);
         let listed = row.and_then(|row| row.machine.worker.as_deref()).unwrap_or_default();
         log::info!(
-            machine = name, order = answered.number, outcome:? = outcome, present = present.is_some(),
+            target: DECISIONS, machine = name, order = answered.number, outcome:? = outcome, present = present.is_some(),
             emptied = present.map_or("", Order::emptied_worker), listed = listed,
             sent_ms = present.map_or(0, |order| now.saturating_sub(order.sent)); "the machine order was answered"
         );
@@ -354,7 +355,7 @@
             }
             MachineOutcome::Refused => {
                 if let Goal::Upkeep(wave) = order.goal.clone() {
-                    log::warn!(machine = name, wave = wave; "the machine is not part of the wave");
+                    log::warn!(target: DECISIONS, machine = name, wave = wave; "the machine is not part of the wave");
                     self.skip_upkeep(wave, name);
                 }
                 if let Some(row) = self.fleet.rows.get_mut(name) {
--- a/crates/jobs/src/dispatch/systems/fleet/moves.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/moves.rs
@@ -7,6 +7,7 @@
 
 use super::super::super::Dispatcher;
 use super::{Demand, Goal, MachineRow, Order};
+use crate::DECISIONS;
 use crate::dispatch::event::MachineState;
 
 /// Time for which a pool must have a surplus before a machine is parked, in milliseconds. A move to standby
@@ -171,7 +172,7 @@
 
     fn start_move(&mut self, now: u64, name: &str, pool: &str) {
         if let Some(machine) = self.fleet.give_order(now, name, Goal::Pool(pool.to_owned())) {
-            log::info!(machine = name, from = machine.pool.as_str(), to = pool; "the machine changes its pool");
+            log::info!(target: DECISIONS, machine = name, from = machine.pool.as_str(), to = pool; "the machine changes its pool");
         }
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -9,6 +9,7 @@
 use super::super::super::command::Command;
 use super::super::super::event::{self, MachineState};
 use super::{Goal, MachineRow};
+use crate::DECISIONS;
 
 /// Time from the start of emptying a machine until it serves again, without the upkeep itself, in
 /// milliseconds.
@@ -60,7 +61,7 @@
             self.dirty_waves.insert(number);
         }
         let age = unix.saturating_sub(stored.seen_ms).min(plan.within_ms);
-        log::info!(wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age; "a wave of upkeep is planned");
+        log::info!(target: DECISIONS, wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age; "a wave of upkeep is planned");
         let deadline = now.saturating_add(plan.within_ms) - age;
         self.fleet.waves.insert(number, WaveState { plan, deadline, reported: None, last_report: 0 });
     }
@@ -127,7 +128,7 @@
                 continue;
             }
             if self.fleet.give_order(now, &name, goal.clone()).is_some() {
-                log::info!(machine = name.as_str(), wave = number, cost = cost, pressing = urgent; "the machine is emptied for upkeep");
+                log::info!(target: DECISIONS, machine = name.as_str(), wave = number, cost = cost, pressing = urgent; "the machine is emptied for upkeep");
                 slots -= 1;
             }
         }
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -10,6 +10,7 @@
 use super::super::worker::{Worker, WorkerKey};
 use super::polls::target;
 use super::runs::Evidence;
+use crate::DECISIONS;
 use crate::ids::TaskId;
 use crate::spec::Resources;
 use crate::table::Phase;
@@ -57,7 +58,7 @@
         // The worker may have restarted as another kind since the start was first sent.
         if closed || clock.is_some() && !suits {
             log::info!(
-                task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed, over = over;
+                target: DECISIONS, task:% = task, run = run.number, worker = target.worker.as_str(), closed = closed, over = over;
                 "the worker no longer takes the task; its start is not repeated"
             );
             self.stop_run(now, key, task);
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -8,6 +8,7 @@
 use super::super::event::{Outcome, RunStatus, WorkerRecord, WorkerStatus};
 use super::super::worker::{FormerStop, Moment, PollState, Run, Worker, WorkerKey};
 use super::runs::{Evidence, RunEnd};
+use crate::DECISIONS;
 use crate::ids::{JobId, TaskId};
 use crate::table::{Phase, TaskState};
 
@@ -89,7 +90,7 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let oldest = worker.runs.values().map(|run| now.saturating_sub(run.placed)).max();
         log::info!(
-            worker = worker.record.worker.as_str(), started_ms = started_ms, before_ms = worker.process_start,
+            target: DECISIONS, worker = worker.record.worker.as_str(), started_ms = started_ms, before_ms = worker.process_start,
             listed_ms = worker.record.started_ms, runs = worker.runs.len(), oldest_run_ms = oldest.unwrap_or(0),
             token = token;
             "the worker restarted"
@@ -191,7 +192,7 @@
                 }
                 let first = worker.missed_polls == 1;
                 if first {
-                    log::warn!(worker = id, outcome:? = outcome; "the worker does not answer");
+                    log::warn!(target: DECISIONS, worker = id, outcome:? = outcome; "the worker does not answer");
                 }
                 self.supersede_runs(now, key);
                 if first {
@@ -217,7 +218,7 @@
         let off_ms = estimate.map_or(0, |estimate| estimate.abs_diff(status.clock_ms));
         if off_ms > CLOCK_ERROR_MS {
             log::warn!(
-                worker = worker.record.worker.as_str(), off_ms = off_ms, runs = worker.runs.len();
+                target: DECISIONS, worker = worker.record.worker.as_str(), off_ms = off_ms, runs = worker.runs.len();
                 "the worker's clock was estimated wrongly"
             );
         }
@@ -230,7 +231,7 @@
         // Such a poll renewed no lease.
         let was_unknown = !worker.responds();
         if was_unresponsive {
-            log::info!(worker = worker.record.worker.as_str(), looks = worker.missed_polls; "the worker answers again");
+            log::info!(target: DECISIONS, worker = worker.record.worker.as_str(), looks = worker.missed_polls; "the worker answers again");
             self.unchanged = false;
         }
         worker.missed_polls = 0;
@@ -376,7 +377,7 @@
         self.requeue_unsent_run(now, task);
         let resumed = self.reattach_run(key, task, number);
         log::warn!(
-            task:% = task, run = number, worker = target.worker.as_str(), resumed = resumed;
+            target: DECISIONS, task:% = task, run = number, worker = target.worker.as_str(), resumed = resumed;
             "the worker runs a task that is not placed there"
         );
         let occupied = self.workers.get(key).is_some_and(|worker| worker.runs.contains_key(&task));
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -5,6 +5,7 @@
 use super::super::Dispatcher;
 use super::super::event::EndReason;
 use super::super::worker::{FormerStop, Run, WorkerKey};
+use crate::DECISIONS;
 use crate::ids::{JobId, TaskId};
 use crate::spec::{Submission, Terms};
 use crate::table::{Phase, TaskState};
@@ -88,7 +89,7 @@
         let Some(run) = self.remove_run(key, task) else { return };
         let Evidence { why, asked } = evidence;
         log::info!(
-            task:% = task, run = run.number, worker = self.worker_id(key), why = why,
+            target: DECISIONS, task:% = task, run = run.number, worker = self.worker_id(key), why = why,
             asked_ms = now.saturating_sub(asked), placed_ms = now.saturating_sub(run.placed),
             sent = run.sent, listed = run.listed;
             "the run is removed; its task is requeued if this was its current run"
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -6,6 +6,7 @@
 
 use super::event::WorkerRecord;
 use super::names::{PoolKey, TeamKey};
+use crate::DECISIONS;
 use crate::ids::TaskId;
 use crate::spec::{Resources, Step};
 use crate::table::Placement;
@@ -408,7 +409,7 @@
             (self.failure_permille * (100 - OUTCOME_PERCENT) + newest * OUTCOME_PERCENT) / 100;
         if failed && self.failure_permille > FAILING_PERMILLE {
             self.excluded_until = now + RETRY_MS;
-            log::warn!(worker = self.record.worker.as_str(), failing_permille = self.failure_permille; "the worker fails most runs; no new tasks for a while");
+            log::warn!(target: DECISIONS, worker = self.record.worker.as_str(), failing_permille = self.failure_permille; "the worker fails most runs; no new tasks for a while");
         }
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,3 +13,6 @@
 pub mod spec;
 pub mod summary;
 pub mod table;
+
+/// Target of log lines that change what is believed about a machine, a worker or a run. They have a rate limit of their own.
+pub const DECISIONS: &str = "rattanfall_jobs::decisions";
