Write log lines in parts that a reader takes whole

Cause: the lines of 10 ms were written at once, however many they were.

Change: at most 4,096 bytes of whole lines at a time, which a pipe takes whole.

The test lines_of_one_moment_are_written_in_parts_of_whole_lines failed before with 60,000 bytes in a write.

--- a/crates/entry/src/logs/writer.rs
+++ b/crates/entry/src/logs/writer.rs
@@ -15,6 +15,9 @@
 const QUEUE_LINES: usize = 2_048;
 /// Time for which the writer thread collects lines before it writes them together.
 const BATCH_TIME: Duration = Duration::from_millis(10);
+/// Most bytes that are written at once, unless one line is longer. A pipe takes as many whole (`PIPE_BUF`), so that its
+/// reader gets no parts of lines.
+const WRITE_BYTES: usize = 4_096;
 /// Window of the rate limit.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -118,9 +121,17 @@
     while let Ok(line) = lines.recv() {
         let mut batch = line.take();
         std::thread::sleep(BATCH_TIME);
-        lines.try_iter().for_each(|line| batch.extend(line.take()));
+        let written = lines.try_iter().try_for_each(|line| {
+            let bytes = line.take();
+            if batch.len() + bytes.len() > WRITE_BYTES {
+                output.write_all(&batch)?;
+                batch.clear();
+            }
+            batch.extend(bytes);
+            Ok(())
+        });
         // If the output fails, the failure cannot be reported anywhere.
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+        if written.and_then(|()| output.write_all(&batch)).and_then(|()| output.flush()).is_err() {
             return;
         }
     }
--- a/crates/entry/tests/log_writer.rs
+++ b/crates/entry/tests/log_writer.rs
@@ -218,3 +218,36 @@
     assert_eq!(written.iter().filter(|line| *line == "decision\n").count(), 1_000);
     assert!(written.len() < 10_000, "{} lines were queued", written.len());
 }
+
+/// Output that sends the bytes of each write to a channel.
+struct WritesOutput(Sender<Vec<u8>>);
+
+impl Write for WritesOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.send(bytes.to_vec()).map_err(|_| io::ErrorKind::BrokenPipe)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that are cut in the log of a surge: the decisions of one moment are written together, and a reader
+/// that takes some kilobytes of a write loses the rest.
+#[test]
+fn lines_of_one_moment_are_written_in_parts_of_whole_lines() {
+    let (sender, writes) = channel();
+    let mut writer =
+        RateLimitedWriter::new(WritesOutput(sender), Class::Decision, usize::MAX).expect("the thread starts");
+    let line = format!("{}\n", "x".repeat(199));
+    for _ in 0..300 {
+        writer.write_all(line.as_bytes()).expect("it never fails");
+    }
+    let mut missing = 300 * line.len();
+    while missing > 0 {
+        let write = writes.recv_timeout(WAIT).expect("lines are due");
+        assert!(write.len() <= 4_096 && write.ends_with(b"\n"), "{} bytes in a write", write.len());
+        missing -= write.len();
+    }
+}
