--- a/crates/jobs/src/dispatch/systems/fleet/unnamed.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/unnamed.rs
@@ -13,6 +13,7 @@
 use super::super::super::names::PoolKey;
 use super::super::super::worker::{Worker, WorkerKey};
 use super::LIST_DELAY_MS;
+use crate::DECISIONS;
 
 /// Worker with runs that the list of machines doesn't name.
 #[derive(Clone, Copy, Debug)]
@@ -48,7 +49,7 @@
             && !std::mem::replace(&mut order.delayed, true)
         {
             log::info!(
-                machine = name, goal:? = order.goal, worker = worker.record.worker.as_str(),
+                target: DECISIONS, machine = name, goal:? = order.goal, worker = worker.record.worker.as_str(),
                 runs = worker.runs.len(); "the order waits, since the list of machines doesn't name a worker with runs"
             );
         }
