Plan waves of upkeep by the newest record of the operators

Callers saw: a wave to which the operators add machines, or whose record is removed and whose number is used again, is shown as completed on the old list; machines of a removed wave still get their upkeep.

Cause: each node kept the first record of a number, ignored the removal, and kept the waves that a load of the topic no longer showed. The owner ignored a wave that it knew, and the stored progress did not say which record it was about.

Why it works: nodes keep the newest record of each wave with its offset, and the offset since which it was certainly not removed in between. The stored progress has the offset of its record. A changed record replaces the plan, a removal ends it and deletes the progress, and a number that was, or may have been, removed before starts afresh; the platform accepts an order that it has carried out. Orders under way finish and count toward the limit; their answers count for no later wave. A report waits until the one before is answered, since a state may now go back to running.

The progress has two more fields at its end. The former release ignores them, and its own records are read without them.

upkeep.rs: two tests called Dispatcher::plan_wave, which is now private; they pass the same waves by set_waves. The in-memory store no longer returns keys without a value as newest records, as the store does.

--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -156,3 +156,14 @@
     /// Largest number of machines that may be maintained at once.
     pub most: u32,
 }
+
+/// Operators' record of a wave.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaveRecord {
+    /// Content.
+    pub plan: Wave,
+    /// Offset of the record.
+    pub offset: u64,
+    /// Offset of an earlier record of the wave, or of this one, after which the wave was certainly not removed.
+    pub since: u64,
+}
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -399,9 +399,9 @@
             }
         }
         for number in std::mem::take(&mut self.dirty_waves) {
-            if let Some(wave) = self.table.waves.get(&number) {
-                entries.push(record::wave(number, wave));
-            }
+            let wave = self.table.waves.get(&number);
+            entries
+                .push(wave.map_or_else(|| record::dropped_wave(number), |wave| record::wave(number, wave)));
         }
         for (machine, number) in std::mem::take(&mut self.dirty_orders) {
             if let Some(order) = self.table.orders.get(&machine) {
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -70,11 +70,21 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
+    /// True if the wave that it was given for was removed since; a later wave may have the same number.
+    pub(super) former: bool,
     /// Time at which it was last sent.
     sent: u64,
 }
 
 impl Order {
+    /// Wave that its answer counts for.
+    const fn wave(&self) -> Option<u64> {
+        match self.goal {
+            Goal::Upkeep(wave) if !self.former => Some(wave),
+            Goal::Upkeep(_) | Goal::Pool(_) => None,
+        }
+    }
+
     /// Id of the worker that was emptied for it; empty if there is none.
     fn emptied_worker(&self) -> &str {
         self.emptied.as_ref().map_or("", |place| place.worker.as_str())
@@ -101,6 +111,8 @@
 pub(in super::super) struct Fleet {
     pub(super) rows: BTreeMap<String, MachineRow>,
     pub(super) waves: BTreeMap<u64, WaveState>,
+    /// Waves whose state is being published, with the time since which.
+    pub(super) publishing: BTreeMap<u64, u64>,
     pub(super) demand: BTreeMap<String, Demand>,
     last_plan: u64,
     /// Number of the last order.
@@ -115,7 +127,8 @@
         let row = self.rows.get_mut(name)?;
         self.last_order += 1;
         let (number, stage) = (self.last_order, Stage::Emptying(now));
-        row.order = Some(Order { number, goal, stage, emptied: None, begun: false, sent: now });
+        row.order =
+            Some(Order { number, goal, stage, emptied: None, begun: false, former: false, sent: now });
         Some(&row.machine)
     }
 }
@@ -328,7 +341,7 @@
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
-                let goal = order.goal.clone();
+                let wave = order.wave();
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
                 let ended = |key: &WorkerKey| {
@@ -341,7 +354,7 @@
                         worker.listed = false;
                     }
                 }
-                if let Goal::Upkeep(wave) = goal {
+                if let Some(wave) = wave {
                     self.mark_begun(wave, name);
                 }
             }
@@ -353,7 +366,7 @@
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
-                if let Goal::Upkeep(wave) = order.goal.clone() {
+                if let Some(wave) = order.wave() {
                     log::warn!(machine = name, wave = wave; "the machine is not part of the wave");
                     self.skip_upkeep(wave, name);
                 }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -1,14 +1,14 @@
 //! Waves of upkeep: every machine of a wave is maintained in time, a few at once, those with the least effect
 //! on running tasks first.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use super::super::super::Dispatcher;
 use super::super::super::command::Command;
 use super::super::super::event::{self, MachineState};
-use super::{Goal, MachineRow};
+use super::{Goal, MachineRow, Order, Stage};
 
 /// Time from the start of emptying a machine until it serves again, without the upkeep itself, in
 /// milliseconds.
@@ -17,20 +17,29 @@
 const WAVE_MARGIN_MS: u64 = 3_000;
 /// Time after which a wave's state that was not stored is published again, in milliseconds.
 const REPORT_RETRY_MS: u64 = 500;
+/// Time after which a call that publishes a wave's state is given up, in milliseconds.
+const REPORT_TIMEOUT_MS: u64 = 5_000;
 
 /// Stored progress of a wave.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WaveProgress {
-    /// Time of day at which an owner first saw it, in milliseconds since 1970.
+    /// Time of day at which an owner first saw its record, in milliseconds since 1970.
     pub seen_ms: u64,
-    /// Machines whose upkeep has begun, or that turned out not to belong to the wave.
+    /// Machines whose upkeep has begun. Those that turned out not to belong to the wave are here, too, if an earlier release
+    /// stored them.
     pub begun: BTreeSet<String>,
+    /// Offset of the operators' record that it is about; none if an earlier release stored it.
+    pub offset: Option<u64>,
+    /// Machines that turned out not to belong to the wave.
+    pub excluded: BTreeSet<String>,
 }
 
 /// Wave with its deadline and the state that was published.
 #[derive(Clone, Debug)]
 pub(in super::super::super) struct WaveState {
     plan: event::Wave,
+    /// Offset of the operators' record.
+    offset: u64,
     /// Time by which all machines must be maintained.
     deadline: u64,
     /// State that was last stored as published: none, running (false) or complete (true).
@@ -47,45 +56,114 @@
 }
 
 impl Dispatcher {
-    /// Adds a wave; one that is known already is ignored.
-    pub fn plan_wave(&mut self, now: u64, plan: event::Wave) {
-        let number = plan.number;
-        if self.fleet.waves.contains_key(&number) {
+    /// Replaces the operators' waves. `read_to` is the offset up to which their records were read; progress that is stored for a
+    /// later record stays.
+    pub fn set_waves(&mut self, now: u64, records: &BTreeMap<u64, event::WaveRecord>, read_to: u64) {
+        let covered = |wave: &WaveProgress| wave.offset.is_some_and(|offset| offset < read_to);
+        let stored = self.table.waves.iter().filter(|(_, wave)| covered(wave)).map(|(number, _)| number);
+        let known: BTreeSet<u64> = self.fleet.waves.keys().chain(stored).copied().collect();
+        for number in known.into_iter().filter(|number| !records.contains_key(number)) {
+            self.end_wave(number);
+        }
+        for record in records.values() {
+            self.plan_wave(now, record);
+        }
+    }
+
+    /// Plans a wave, or replaces its plan by that of a newer record.
+    fn plan_wave(&mut self, now: u64, record: &event::WaveRecord) {
+        let number = record.plan.number;
+        let unix = self.moment(now).wall;
+        let known = self.fleet.waves.get_mut(&number);
+        if known.as_ref().is_some_and(|known| known.offset >= record.offset) {
             return;
         }
-        let unix = u64::try_from(i64::try_from(now).unwrap_or(0) + self.unix_offset).unwrap_or(0);
         let stored = self.table.waves.entry(number).or_default();
-        if stored.seen_ms == 0 {
-            stored.seen_ms = unix;
+        let former = stored.offset;
+        // A former owner has read a newer record.
+        if former.is_some_and(|offset| offset > record.offset) {
+            return;
+        }
+        stored.offset = Some(record.offset);
+        if former != stored.offset {
             self.dirty_waves.insert(number);
         }
+        let removed = former.is_some_and(|offset| offset < record.since);
+        if let Some(known) = known.filter(|known| !removed && known.plan == record.plan) {
+            known.offset = record.offset;
+            return;
+        }
+        if removed {
+            stored.begun.clear();
+        }
+        if former.is_some_and(|offset| offset != record.offset) || stored.seen_ms == 0 {
+            stored.seen_ms = unix;
+            stored.excluded.clear();
+        }
+        let plan = record.plan.clone();
         let age = unix.saturating_sub(stored.seen_ms).min(plan.within_ms);
-        log::info!(wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age; "a wave of upkeep is planned");
+        log::info!(
+            wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age, begun = stored.begun.len();
+            "a wave of upkeep is planned"
+        );
         let deadline = now.saturating_add(plan.within_ms) - age;
-        self.fleet.waves.insert(number, WaveState { plan, deadline, reported: None, last_report: 0 });
+        if removed {
+            self.withdraw_orders(number, &[]);
+        } else {
+            self.withdraw_orders(number, &plan.machines);
+        }
+        let reported = self.fleet.waves.get(&number).and_then(|wave| wave.reported);
+        let wave = WaveState { plan, offset: record.offset, deadline, reported, last_report: 0 };
+        self.fleet.waves.insert(number, wave);
+    }
+
+    /// Ends the planning of a wave that was removed. Orders that were sent are carried out.
+    fn end_wave(&mut self, number: u64) {
+        log::info!(wave = number; "a wave of upkeep was removed");
+        self.fleet.waves.remove(&number);
+        if self.table.waves.remove(&number).is_some() {
+            self.dirty_waves.insert(number);
+        }
+        self.withdraw_orders(number, &[]);
+    }
+
+    /// Withdraws the orders of a wave to machines that are not in `kept`. The answers to those that may have been sent no longer count.
+    fn withdraw_orders(&mut self, number: u64, kept: &[String]) {
+        let goal = Goal::Upkeep(number);
+        for (name, row) in &mut self.fleet.rows {
+            let order = row.order.as_mut().filter(|order| order.goal == goal && !kept.contains(name));
+            match order {
+                Some(Order { stage: Stage::Emptying(_), .. }) => row.order = None,
+                Some(order) => order.former = true,
+                None => {}
+            }
+        }
     }
 
     /// Records that the upkeep of a machine has begun.
     pub(super) fn mark_begun(&mut self, wave: u64, machine: &str) {
-        let stored = self.table.waves.entry(wave).or_default();
+        let Some(stored) = self.table.waves.get_mut(&wave) else { return };
         if stored.begun.insert(machine.to_owned()) {
             self.dirty_waves.insert(wave);
         }
     }
 
-    /// Leaves a machine out of a wave.
+    /// Leaves a machine out of a wave until the wave changes.
     pub(super) fn skip_upkeep(&mut self, wave: u64, machine: &str) {
-        self.mark_begun(wave, machine);
+        let Some(stored) = self.table.waves.get_mut(&wave) else { return };
+        if stored.excluded.insert(machine.to_owned()) {
+            self.dirty_waves.insert(wave);
+        }
     }
 
     /// Selects the machines to maintain next and publishes the state of the waves.
     pub(super) fn plan_upkeep(&mut self, now: u64) {
         let numbers: Vec<u64> = self.fleet.waves.keys().copied().collect();
         for number in numbers {
-            let begun = self.table.waves.get(&number).map(|w| w.begun.clone()).unwrap_or_default();
             let Some(wave) = self.fleet.waves.get(&number).cloned() else { continue };
-            let due: Vec<String> =
-                wave.plan.machines.iter().filter(|name| !begun.contains(*name)).cloned().collect();
+            let Some(stored) = self.table.waves.get(&number) else { continue };
+            let over = |name: &String| stored.begun.contains(name) || stored.excluded.contains(name);
+            let due: Vec<String> = wave.plan.machines.iter().filter(|name| !over(name)).cloned().collect();
             self.report_wave(now, number, due.is_empty());
             if !due.is_empty() {
                 self.select_machines(now, number, &wave, &due);
@@ -165,16 +243,22 @@
         if wave.reported == Some(complete) || now < wave.last_report + REPORT_RETRY_MS {
             return;
         }
+        // Two calls that are under way may be carried out in any order.
+        if self.fleet.publishing.get(&number).is_some_and(|since| now < since + REPORT_TIMEOUT_MS) {
+            return;
+        }
         // A wave is published as complete only once the set of its maintained machines is stored.
         if complete && self.dirty_waves.contains(&number) {
             return;
         }
         wave.last_report = now;
+        self.fleet.publishing.insert(number, now);
         self.commands.push(Command::Publish(number, complete));
     }
 
     /// Handles whether a published state was stored.
     pub fn published(&mut self, number: u64, complete: bool, stored: bool) {
+        self.fleet.publishing.remove(&number);
         if let Some(wave) = self.fleet.waves.get_mut(&number).filter(|_| stored) {
             wave.reported = Some(complete);
         }
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -116,9 +116,7 @@
         for record in records {
             dispatcher.update_worker(now, record);
         }
-        for wave in state.waves.values() {
-            dispatcher.plan_wave(now, wave.clone());
-        }
+        dispatcher.set_waves(now, &state.waves, state.operator.next.unwrap_or(0));
         state.role = Role::Owner(Box::new(dispatcher));
         self.handle.meters.owned("claimed");
         state.progress.next = Some(end);
--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -3,7 +3,7 @@
 //! Each topic is loaded once as the newest record of each key and followed from there. If the records to read next are
 //! no longer retained, it is loaded again.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,28 +55,34 @@
 
     fn apply_instructions(&self, page: &Page, initial: bool, as_of: Option<Instant>) {
         let mut state = self.state.borrow_mut();
+        let mut former = BTreeMap::new();
         if initial {
             state.evacuated.clear();
+            former = std::mem::take(&mut state.waves);
         }
         for (offset, entry) in &page.entries {
             if state.operator.next.is_none_or(|next| *offset >= next) || initial {
-                self.apply_instruction(&mut state, entry);
+                self.apply_instruction(&mut state, *offset, entry);
+            }
+        }
+        // A load shows only the newest record, so a wave may have been removed between two of its records.
+        for (number, wave) in former {
+            if let Some(loaded) = state.waves.get_mut(&number).filter(|loaded| loaded.offset == wave.offset) {
+                loaded.since = wave.since;
             }
         }
         state.operator.advance(page, as_of);
         let (catalog, zones) = (state.catalog.clone(), state.evacuated.clone());
-        let waves = state.waves.clone();
+        let (waves, read_to) = (state.waves.clone(), state.operator.next.unwrap_or(0));
         if let (Some(dispatcher), Some(catalog)) = (state.dispatcher(), catalog) {
             dispatcher.set_catalog(catalog);
             dispatcher.set_evacuated(zones);
-            for wave in waves.into_values() {
-                dispatcher.plan_wave(self.now(), wave);
-            }
+            dispatcher.set_waves(self.now(), &waves, read_to);
             self.owner_wakeup.notify_one();
         }
     }
 
-    fn apply_instruction(&self, state: &mut State, entry: &Entry) {
+    fn apply_instruction(&self, state: &mut State, offset: u64, entry: &Entry) {
         match self.platform.instruction(entry) {
             Ok(Some(Instruction::Configure(catalog))) => {
                 if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
@@ -93,9 +99,8 @@
                 log::info!(zone = zone.as_str(); "tasks may start in the availability zone again");
                 state.evacuated.remove(&zone);
             }
-            Ok(Some(Instruction::Maintain(wave))) => {
-                state.waves.entry(wave.number).or_insert(wave);
-            }
+            Ok(Some(Instruction::Maintain(wave))) => state.set_wave(offset, wave),
+            Ok(Some(Instruction::EndWave(number))) => state.remove_wave(offset, number),
             Ok(None) => {}
             Err(invalid) => {
                 log::warn!(key = invalid.key.as_str(), why = invalid.reason.as_str(); "an operator record cannot be decoded");
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -9,7 +9,7 @@
 
 use crate::catalog::Catalog;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::event::Wave;
+use crate::dispatch::event::{Wave, WaveRecord};
 use crate::ids::JobId;
 use crate::ports::Page;
 use crate::record::Entry;
@@ -96,7 +96,8 @@
     /// Configuration in force; none before it was read.
     pub(super) catalog: Option<Arc<Catalog>>,
     pub(super) evacuated: BTreeSet<String>,
-    pub(super) waves: BTreeMap<u64, Wave>,
+    /// Operators' records of waves, by number.
+    pub(super) waves: BTreeMap<u64, WaveRecord>,
     pub(super) operator: Cursor,
     /// States of jobs, from which callers are answered unless this node is the owner.
     pub(super) summaries: Summaries,
@@ -160,6 +161,23 @@
         matches!(self.role, Role::Standby(_))
     }
 
+    /// Applies an operator's record of a wave. Records that a load of the topic has covered may be read again.
+    pub(super) fn set_wave(&mut self, offset: u64, plan: Wave) {
+        let known = self.waves.get(&plan.number);
+        if known.is_some_and(|known| known.offset >= offset) {
+            return;
+        }
+        let since = known.map_or(offset, |known| known.since);
+        self.waves.insert(plan.number, WaveRecord { plan, offset, since });
+    }
+
+    /// Removes a wave of which no newer record is known.
+    pub(super) fn remove_wave(&mut self, offset: u64, number: u64) {
+        if self.waves.get(&number).is_some_and(|known| known.offset < offset) {
+            self.waves.remove(&number);
+        }
+    }
+
     /// State of a job as callers see it.
     pub(super) fn job_state(&self, id: JobId) -> Option<JobState> {
         match &self.role {
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -188,8 +188,10 @@
     Configure(Box<Catalog>),
     /// Evacuates an availability zone, so that nothing starts in it, if true; ends the evacuation if false.
     Evacuate(String, bool),
-    /// A maintenance wave.
+    /// A maintenance wave, or a change of it.
     Maintain(Wave),
+    /// The maintenance wave with this number was removed.
+    EndWave(u64),
 }
 
 /// Record of an operator or a worker that cannot be decoded.
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -5,6 +5,8 @@
 //! by its epoch; the state of a large job is divided into parts. `Summaries` repeats the states of jobs in short records for instances that only serve callers. Each
 //! record is the whole state of its key, so a reader may skip records as long as it reads the newest one of each key.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -125,6 +127,8 @@
     Job(JobId, Progress),
     /// Progress of a maintenance wave, by its number.
     Wave(u64, WaveProgress),
+    /// The progress of a maintenance wave was deleted.
+    WaveDropped(u64),
     /// Last order about a machine, by its name.
     Order(String, LastOrder),
     /// A job was deleted.
@@ -135,6 +139,28 @@
     PartDropped(PartId),
 }
 
+/// Progress of a wave without the fields that later releases append. Earlier releases ignore these.
+#[derive(Deserialize)]
+struct ShortWave {
+    seen_ms: u64,
+    begun: BTreeSet<String>,
+}
+
+impl From<ShortWave> for WaveProgress {
+    fn from(wave: ShortWave) -> Self {
+        Self { seen_ms: wave.seen_ms, begun: wave.begun, ..Self::default() }
+    }
+}
+
+fn decode_wave(bytes: &[u8]) -> Result<WaveProgress, BadRecord> {
+    match decode(bytes) {
+        Err(BadRecord::Content(postcard::Error::DeserializeUnexpectedEnd)) => {
+            decode::<ShortWave>(bytes).map(WaveProgress::from)
+        }
+        wave => wave,
+    }
+}
+
 fn encode(value: &impl Serialize) -> Vec<u8> {
     match postcard::to_extend(value, vec![VERSION]) {
         Ok(encoded) => encoded,
@@ -207,6 +233,12 @@
     Entry { key: format!("{WAVE_KEY}{number}"), value: encode(wave) }
 }
 
+/// Creates the record that deletes the progress of a maintenance wave.
+#[must_use]
+pub fn dropped_wave(number: u64) -> Entry {
+    Entry { key: format!("{WAVE_KEY}{number}"), value: Vec::new() }
+}
+
 /// Creates the progress record of the last order about a machine.
 #[must_use]
 pub fn order(machine: &str, order: &LastOrder) -> Entry {
@@ -276,7 +308,12 @@
     }
     if let Some(number) = entry.key.strip_prefix(WAVE_KEY) {
         let number = number.parse().map_err(|_| BadRecord::Key)?;
-        return Ok(Change::Wave(number, decode(&entry.value)?));
+        let deleted = entry.value.is_empty();
+        return Ok(if deleted {
+            Change::WaveDropped(number)
+        } else {
+            Change::Wave(number, decode_wave(&entry.value)?)
+        });
     }
     if let Some(machine) = entry.key.strip_prefix(ORDER_KEY) {
         return Ok(Change::Order(machine.to_owned(), decode(&entry.value)?));
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -179,6 +179,9 @@
             Change::Wave(number, wave) => {
                 self.waves.insert(number, wave);
             }
+            Change::WaveDropped(number) => {
+                self.waves.remove(&number);
+            }
             Change::Order(machine, at) => {
                 self.orders.insert(machine, at);
             }
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -187,6 +187,28 @@
         self.appended.notify_waiters();
     }
 
+    /// Writes an operator's record of a wave that names workers by their indices; removes it if there are none.
+    pub(crate) fn write_wave(&self, number: u64, workers: &[u8]) {
+        let entry = Entry { key: format!("wave/{number}"), value: workers.to_vec() };
+        self.shared.borrow_mut().logs.entry(Topic::Operator).or_default().entries.push(entry);
+        self.appended.notify_waiters();
+    }
+
+    /// States of a wave in the order in which they were published; true if it was complete.
+    pub(crate) fn reports(&self, number: u64) -> Vec<bool> {
+        let shared = self.shared.borrow();
+        let entries = shared.logs.get(&Topic::Reports).map_or(&[][..], |log| &log.entries);
+        let ours = entries.iter().filter(|entry| entry.key == number.to_string());
+        ours.map(|entry| entry.value == [1]).collect()
+    }
+
+    /// Machines that got orders for upkeep in a wave.
+    pub(crate) fn upkeeps(&self, number: u64) -> Vec<String> {
+        let shared = self.shared.borrow();
+        let ours = shared.upkeeps.iter().filter(|(wave, _)| *wave == number);
+        ours.map(|(_, machine)| machine.clone()).collect()
+    }
+
     /// Names in the records of owners, oldest first.
     pub(crate) fn claims(&self) -> Vec<String> {
         let shared = self.shared.borrow();
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -10,7 +10,7 @@
 mod workers;
 
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
-use rattanfall_jobs::dispatch::event::WorkerRecord;
+use rattanfall_jobs::dispatch::event::{Wave, WorkerRecord};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Call, JobRequest, Verb};
 use rattanfall_jobs::node::unix_ms;
@@ -44,6 +44,14 @@
     }
 
     fn instruction(&self, entry: &Entry) -> Result<Option<Instruction>, InvalidRecord> {
+        if let Some(number) = entry.key.strip_prefix("wave/") {
+            let number = number.parse().expect("the test writes a number");
+            if entry.value.is_empty() {
+                return Ok(Some(Instruction::EndWave(number)));
+            }
+            let machines = entry.value.iter().map(|index| format!("m-worker-{index}")).collect();
+            return Ok(Some(Instruction::Maintain(Wave { number, machines, within_ms: 5_000, most: 3 })));
+        }
         let mut catalog = catalog();
         if entry.value == [2] {
             catalog.version = 2;
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -93,6 +93,8 @@
     pub(super) task_stagger: Duration,
     pub(super) starts: usize,
     pub(super) duplicate_starts: usize,
+    /// Orders for upkeep: number of the wave, and machine.
+    pub(super) upkeeps: Vec<(u64, String)>,
     /// Time of the last start of a task of each job.
     pub(super) started: BTreeMap<JobId, Instant>,
 }
@@ -161,6 +163,8 @@
         for (offset, entry) in (0..).zip(&self.entries) {
             newest.insert(&entry.key, (offset, entry));
         }
+        // The store drops a key without a value.
+        newest.retain(|_, (_, entry)| !entry.value.is_empty());
         let end = self.entries.len() as u64;
         let entries = newest.into_values().map(|(offset, entry)| (offset, entry.clone())).collect();
         Page { entries, next: end, end }
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -139,7 +139,8 @@
         MachineOutcome::Refused
     }
 
-    async fn maintain(&self, _: &str, _: u64, _: u64) -> MachineOutcome {
-        MachineOutcome::Refused
+    async fn maintain(&self, machine: &str, wave: u64, _: u64) -> MachineOutcome {
+        self.shared.borrow_mut().upkeeps.push((wave, machine.to_owned()));
+        MachineOutcome::Taken
     }
 }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -13,7 +13,8 @@
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
 use rattanfall_jobs::dispatch::command::{Command, MachineOrder, PolicyRequest, Poll, Start, Stop, Throttle};
 use rattanfall_jobs::dispatch::event::{
-    EndReason, EndedRun, Machine, MachineState, Outcome, RunStatus, Wave, WorkerRecord, WorkerStatus,
+    EndReason, EndedRun, Machine, MachineState, Outcome, RunStatus, Wave, WaveRecord, WorkerRecord,
+    WorkerStatus,
 };
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::dispatch::{Dispatcher, Write};
@@ -104,6 +105,8 @@
     DropsAnswers,
     /// It carries out orders, but their answers are under way until the test delivers them.
     HoldsAnswers,
+    /// It does nothing and gives this answer.
+    Answers(MachineOutcome),
 }
 
 /// Simulated fleet with a dispatcher.
@@ -140,6 +143,14 @@
     /// Orders to machines that were answered with success, while the answers are under way.
     held_answers: Vec<MachineOrder>,
     pub(crate) published: BTreeMap<u64, bool>,
+    /// True while the reports about waves are under way.
+    pub(crate) holds_reports: bool,
+    /// Reports about waves that are under way.
+    pub(crate) held_reports: Vec<(u64, bool)>,
+    /// Operators' records of waves.
+    waves: BTreeMap<u64, WaveRecord>,
+    /// Offset of the operators' next record.
+    operator_end: u64,
     /// Steps and workers that the policy was asked about while it had no service.
     pub(crate) asked: Vec<(StepId, Vec<String>)>,
     /// Service of the queues' policy; none if each request is answered at once.
@@ -322,6 +333,10 @@
             machine_fault: None,
             held_answers: Vec::new(),
             published: BTreeMap::new(),
+            holds_reports: false,
+            held_reports: Vec::new(),
+            waves: BTreeMap::new(),
+            operator_end: 0,
             asked: Vec::new(),
             policy: None,
             durations: BTreeMap::new(),
@@ -363,7 +378,8 @@
         self.catalog.pool(pool).is_some_and(|pool| pool.standby)
     }
 
-    fn add_machine(&mut self, name: &str, pool: &str, index: usize) {
+    /// Adds a machine to a pool.
+    pub(crate) fn add_machine(&mut self, name: &str, pool: &str, index: usize) {
         let labels = vec!["a".to_owned(), format!("r{}", index / 4)];
         let machine = Machine {
             name: name.into(),
@@ -782,12 +798,17 @@
             Command::Maintain(order, _) => {
                 let machine = &order.machine;
                 let done = self.upkeeps.iter().any(|(_, name)| name == machine);
-                if !done && self.machine_fault != Some(MachineFault::Refuses) {
+                let acts =
+                    !matches!(self.machine_fault, Some(MachineFault::Refuses | MachineFault::Answers(_)));
+                if !done && acts {
                     self.upkeeps.push((now, machine.clone()));
                 }
                 let pool = self.machines[machine].0.pool.clone();
                 self.order_machine(order, MachineState::Upkeep, pool, done);
             }
+            Command::Publish(wave, complete) if self.holds_reports => {
+                self.held_reports.push((wave, complete));
+            }
             Command::Publish(wave, complete) => {
                 self.published.insert(wave, complete);
                 self.dispatcher.published(wave, complete, true);
@@ -830,6 +851,9 @@
             Some(MachineFault::Refuses) => {
                 return self.dispatcher.machine_ordered(now, &order, MachineOutcome::NotNow);
             }
+            Some(MachineFault::Answers(outcome)) => {
+                return self.dispatcher.machine_ordered(now, &order, outcome);
+            }
         };
         if !done && let Some((machine, back)) = self.machines.get_mut(&order.machine) {
             machine.state = state;
@@ -845,6 +869,19 @@
         self.dispatcher.machine_ordered(now, &order, outcome);
     }
 
+    /// Stores the held reports.
+    pub(crate) fn deliver_reports(&mut self) {
+        for (wave, complete) in std::mem::take(&mut self.held_reports) {
+            self.published.insert(wave, complete);
+            self.dispatcher.published(wave, complete, true);
+        }
+    }
+
+    /// Operators' records of the waves.
+    pub(crate) fn wave_records(&self) -> BTreeMap<u64, WaveRecord> {
+        self.waves.clone()
+    }
+
     /// Delivers the held answers to machine orders, with success.
     pub(crate) fn deliver_answers(&mut self) {
         for order in std::mem::take(&mut self.held_answers) {
@@ -1046,8 +1083,47 @@
     }
 
     pub(crate) fn plan_wave(&mut self, machines: &[&str], most: u32, within_ms: u64) {
+        self.write_wave(1, machines, most, within_ms);
+    }
+
+    /// Has the operators write the record of a wave.
+    pub(crate) fn write_wave(&mut self, number: u64, machines: &[&str], most: u32, within_ms: u64) {
         let machines = machines.iter().map(|name| (*name).to_owned()).collect();
-        self.dispatcher.plan_wave(self.now, Wave { number: 1, machines, within_ms, most });
+        let plan = Wave { number, machines, within_ms, most };
+        let offset = self.operator_end;
+        let since = self.waves.get(&number).map_or(offset, |known| known.since);
+        self.waves.insert(number, WaveRecord { plan, offset, since });
+        self.operator_end += 1;
+        self.pass_waves();
+    }
+
+    /// Has the operators remove the record of a wave.
+    pub(crate) fn remove_wave(&mut self, number: u64) {
+        self.waves.remove(&number);
+        self.operator_end += 1;
+        self.pass_waves();
+    }
+
+    /// Has the operators remove the record of a wave and write another one, of which the owner reads the latter only.
+    pub(crate) fn replace_wave(&mut self, number: u64, machines: &[&str], most: u32, within_ms: u64) {
+        self.waves.remove(&number);
+        self.operator_end += 1;
+        self.write_wave(number, machines, most, within_ms);
+    }
+
+    /// Passes the records of the waves to the dispatcher.
+    pub(crate) fn pass_waves(&mut self) {
+        self.dispatcher.set_waves(self.now, &self.waves, self.operator_end);
+    }
+
+    /// Removes a machine from the fleet.
+    pub(crate) fn remove_machine(&mut self, name: &str) {
+        let (machine, _) = self.machines.remove(name).expect("the machine is there");
+        if let Some(id) = machine.worker {
+            self.workers.remove(&id);
+            self.directory.remove(&id);
+            self.dispatcher.unlist_worker(&id);
+        }
     }
 
     /// Number of machines in upkeep.
--- a/crates/jobs/tests/upkeep.rs
+++ b/crates/jobs/tests/upkeep.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::event::Wave;
 use rattanfall_jobs::spec::Step;
 use support::{World, cores, job, step, task};
 
@@ -49,8 +48,7 @@
         world.round();
     }
     world.take_over();
-    let machines = ALL.map(str::to_owned).to_vec();
-    world.dispatcher.plan_wave(world.now, Wave { number: 1, machines, within_ms: 12_000, most: 2 });
+    world.pass_waves();
     for _ in 0..2_000 {
         world.round();
         assert!(world.in_upkeep() <= 2);
@@ -104,8 +102,9 @@
     }
     let stopped = world.workers[&world.stops[0].2].machine.clone();
     world.take_over();
-    let others = ALL.iter().filter(|name| **name != stopped).map(|name| (*name).to_owned()).collect();
-    world.dispatcher.plan_wave(world.now, Wave { number: 2, machines: others, within_ms: 4_000, most: 6 });
+    let others: Vec<&str> = ALL.into_iter().filter(|name| **name != stopped).collect();
+    world.remove_wave(1);
+    world.write_wave(2, &others, 6, 4_000);
     for _ in 0..1_500 {
         world.round();
         assert!(world.at_work(1) >= 3, "two tasks of the step are unavailable at {}", world.now);
--- /dev/null
+++ b/crates/jobs/tests/wave_records.rs
@@ -0,0 +1,88 @@
+//! Operators' records of waves, as nodes read them from the store.
+
+mod platform;
+
+use platform::Cluster;
+use rattanfall_jobs::ports::Topic;
+
+/// Time in which a wave of a few machines is completed, in milliseconds.
+const WAVE_MS: u64 = 4_000;
+
+/// Guards against a wave that is shown as completed by the first record of its number.
+#[tokio::test(start_paused = true)]
+async fn the_newest_record_of_a_wave_counts() {
+    Cluster::run(2, |cluster| async move {
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1), ["m-worker-0"]);
+        cluster.write_wave(1, &[0, 1]);
+        cluster.run_for(WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1), ["m-worker-0", "m-worker-1"]);
+        assert_eq!(cluster.reports(1), [false, true, false, true]);
+    })
+    .await;
+}
+
+/// Guards against a wave that is shown as completed by an earlier one with its number.
+#[tokio::test(start_paused = true)]
+async fn a_number_that_is_used_again_after_a_removal_starts_afresh() {
+    Cluster::run(2, |cluster| async move {
+        for times in 1..=2 {
+            cluster.write_wave(1, &[0]);
+            cluster.run_for(WAVE_MS).await;
+            assert_eq!(cluster.upkeeps(1).len(), times);
+            assert_eq!(cluster.reports(1).last(), Some(&true));
+            cluster.write_wave(1, &[]);
+            cluster.run_for(WAVE_MS).await;
+        }
+    })
+    .await;
+}
+
+/// Guards against a new owner that plans a wave whose removal it has not read, since the topic was loaded again.
+#[tokio::test(start_paused = true)]
+async fn a_reload_of_the_topic_drops_the_waves_that_are_no_longer_there() {
+    Cluster::run(2, |cluster| async move {
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(WAVE_MS).await;
+        cluster.write_wave(1, &[]);
+        cluster.compact_topic(Topic::Operator);
+        cluster.run_for(WAVE_MS).await;
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1).len(), 2);
+    })
+    .await;
+}
+
+/// Guards against a wave that an owner, which was started later, completes by the machines of an earlier one.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_missed_a_removal_starts_the_wave_afresh() {
+    Cluster::run(1, |cluster| async move {
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1).len(), 1);
+        cluster.kill(0);
+        cluster.write_wave(1, &[]);
+        cluster.write_wave(1, &[0]);
+        cluster.restart(0);
+        cluster.run_for(2 * WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1).len(), 2);
+    })
+    .await;
+}
+
+/// Guards against upkeep that is repeated by an owner that was started later, although the record of the wave is the same.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_reads_the_same_record_goes_on_with_the_wave() {
+    Cluster::run(1, |cluster| async move {
+        cluster.write_wave(1, &[0, 1]);
+        cluster.run_for(WAVE_MS).await;
+        cluster.kill(0);
+        cluster.restart(0);
+        cluster.run_for(2 * WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1).len(), 2);
+        assert_eq!(cluster.reports(1).last(), Some(&true));
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/jobs/tests/waves.rs
@@ -0,0 +1,210 @@
+//! Waves of upkeep whose record the operators change, and machines that turn out not to be part of their wave.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use rattanfall_jobs::dispatch::WaveProgress;
+use rattanfall_jobs::record::{Change, Entry, read_change, wave};
+use serde::{Deserialize, Serialize};
+use support::{MachineFault, World};
+
+const ALL: [&str; 4] = ["red-00", "red-01", "red-02", "red-03"];
+
+/// World whose first wave, of one machine, is completed.
+fn completed() -> World {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(5_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (1, Some(&true)));
+    world
+}
+
+fn maintained(world: &World) -> Vec<&str> {
+    world.upkeeps.iter().map(|(_, name)| name.as_str()).collect()
+}
+
+/// Guards against a wave that is shown as completed while machines that were added to it are due.
+#[test]
+fn a_wave_that_gets_more_machines_is_shown_as_running_again() {
+    let mut world = completed();
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(300);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(6_000);
+    assert_eq!(maintained(&world), ALL[..2]);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
+}
+
+/// Guards against a wave that a new owner shows as completed by the machines of its former record.
+#[test]
+fn a_new_owner_plans_the_machines_that_were_added_to_a_wave() {
+    let mut world = completed();
+    world.take_over();
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(14_000);
+    assert_eq!(maintained(&world), ALL[..2]);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
+}
+
+/// Guards against upkeep of machines that the operators have taken out of a wave, or whose wave they have removed.
+#[test]
+fn a_removed_wave_is_no_longer_planned_nor_stored() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL, 1, 25_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.remove_wave(1);
+    world.run_for(15_000);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert!(world.dispatcher.table.waves.is_empty());
+    assert!(!world.stored.contains_key("wave/1"));
+}
+
+/// Guards against a wave that is shown as completed by the upkeep of an earlier wave with its number.
+#[test]
+fn a_number_that_is_used_again_starts_afresh() {
+    let mut world = completed();
+    world.remove_wave(1);
+    world.run_for(500);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(300);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(6_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
+}
+
+/// Guards against a wave that is shown as completed by an earlier one, whose removal the new owner has not read.
+#[test]
+fn a_number_that_is_used_again_starts_afresh_if_the_removal_was_missed() {
+    let mut world = completed();
+    world.take_over();
+    world.replace_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(14_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
+}
+
+/// Guards against a wave that is shown as completed on the answer to an order of an earlier wave with its number.
+#[test]
+fn an_answer_to_an_order_of_a_removed_wave_does_not_count() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::HoldsAnswers);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.remove_wave(1);
+    world.run_for(200);
+    world.write_wave(1, &ALL[..1], 1, 20_000);
+    world.deliver_answers();
+    world.machine_fault = None;
+    world.run_for(400);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(12_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
+}
+
+/// Guards against more machines in upkeep than allowed, while those of an earlier wave with the same number are down.
+#[test]
+fn a_number_that_is_used_again_keeps_the_limit() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.remove_wave(1);
+    world.run_for(200);
+    world.write_wave(1, &ALL[2..], 1, 5_000);
+    for _ in 0..1_500 {
+        world.round();
+        assert!(world.in_upkeep() <= 1);
+    }
+    assert_eq!(maintained(&world)[1..], ALL[2..]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Progress of a wave as the release before stores it.
+#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct FormerProgress {
+    seen_ms: u64,
+    begun: BTreeSet<String>,
+}
+
+/// Guards against the loss of a wave's progress when another release takes the work over.
+#[test]
+fn the_progress_of_a_wave_is_readable_by_and_from_the_release_before() {
+    let begun: BTreeSet<String> = ALL[..2].iter().map(|name| (*name).to_owned()).collect();
+    let former = FormerProgress { seen_ms: 7, begun: begun.clone() };
+    let value = postcard::to_extend(&former, vec![1]).expect("it can be encoded");
+    let read = read_change(&Entry { key: "wave/3".into(), value }).expect("it can be decoded");
+    let expected = WaveProgress { seen_ms: 7, begun: begun.clone(), ..WaveProgress::default() };
+    assert_eq!(read, Change::Wave(3, expected));
+
+    let excluded = [ALL[3].to_owned()].into();
+    let progress = WaveProgress { seen_ms: 7, begun, offset: Some(9), excluded };
+    let entry = wave(3, &progress);
+    assert_eq!(postcard::from_bytes::<FormerProgress>(&entry.value[1..]), Ok(former));
+    assert_eq!(read_change(&entry).expect("it can be decoded"), Change::Wave(3, progress));
+}
+
+/// Guards against upkeep that is repeated after the update of a release, which stored no offsets.
+#[test]
+fn a_wave_that_the_release_before_has_stored_goes_on() {
+    let mut world = completed();
+    let former = FormerProgress { seen_ms: support::UNIX, begun: [ALL[0].to_owned()].into() };
+    let value = postcard::to_extend(&former, vec![1]).expect("it can be encoded");
+    world.stored.insert("wave/1".into(), Entry { key: "wave/1".into(), value });
+    world.take_over();
+    world.pass_waves();
+    world.run_for(6_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (1, Some(&true)));
+}
+
+/// Guards against a wave that is shown as completed by an old record, of which the former owner had read a newer one.
+#[test]
+fn a_wave_waits_for_the_record_that_its_progress_is_about() {
+    let mut world = completed();
+    let old = world.wave_records();
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(300);
+    world.take_over();
+    world.published.clear();
+    world.dispatcher.set_waves(world.now, &old, 1);
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), None);
+    world.pass_waves();
+    world.run_for(12_000);
+    assert_eq!(maintained(&world), ALL[..2]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against a wave that is shown as completed because an older report is stored after a newer one.
+#[test]
+fn a_report_waits_until_the_one_before_is_answered() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(300);
+    world.holds_reports = true;
+    world.run_for(4_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(600);
+    assert_eq!(world.held_reports, [(1, true)]);
+    world.holds_reports = false;
+    world.deliver_reports();
+    world.run_for(300);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machine_fault = None;
+    world.run_for(8_000);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
