Keep a machine due that an order found to be missing

Callers saw: the machine API answers an order for upkeep with 400 (no such machine) for a moment, and the wave is shown as completed without that machine. The other way round, a machine that leaves the fleet before it gets an order keeps its wave from completion for good.

Cause: 409 with the reason wave and 400 were one outcome, Refused, after which the machine counted as begun, also in the stored progress. A machine that no list names got no order and stayed due.

Why it works: 400 is an outcome of its own, Absent. It says nothing about the wave, so the machine stays due and gets its next order after a pause that doubles from 3.2 to 51 s. Only the lists say that a machine is gone: once all lists of 10 s lack it, the wave may complete, and as soon as one names it again, it is due and the wave is running. 409 with the reason wave is the platform's word on this wave; the machine is left out until the wave's record changes, stored apart from those that have begun.

Tests, failed before: a_machine_that_is_listed_stays_due_when_an_order_finds_no_such_machine waves.rs:139: left: Some(true), right: Some(false) a_machine_that_is_gone_is_due_only_once_it_is_listed_again waves.rs:158: left: Some(false), right: Some(true) They ran with Refused in place of Absent then, and lacked the fault that now holds the orders back while the wave is checked to be running.

wave_records::an_answer_to_an_order_of_a_former_epoch_does_not_count passed at once: a guard only.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -36,6 +36,12 @@
 const OWN_HANDOVER_MS: u64 = 1_000;
 /// Time for which a machine gets no order after it was busy, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 800;
+/// Time for which a machine gets no order after one was refused, in milliseconds.
+const REFUSED_BACKOFF_MS: u64 = 3_200;
+/// Number of times that this time is doubled at most, while orders for upkeep find no such machine.
+const MAX_DOUBLINGS: u32 = 4;
+/// Time after which a machine that no list names is gone, in milliseconds.
+const GONE_MS: u64 = 10_000;
 
 /// Purpose of an order to a machine.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -104,6 +110,8 @@
     pub(super) blocked_until: u64,
     /// True if the last list lacked it.
     unlisted: bool,
+    /// Number of orders for upkeep in a row that found no such machine.
+    absences: u32,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -111,6 +119,8 @@
 pub(in super::super) struct Fleet {
     pub(super) rows: BTreeMap<String, MachineRow>,
     pub(super) waves: BTreeMap<u64, WaveState>,
+    /// Machines of waves that the last list lacked, with the time of the first list in a row that did.
+    pub(super) missing: BTreeMap<String, u64>,
     /// Waves whose state is being published, with the time since which.
     pub(super) publishing: BTreeMap<u64, u64>,
     pub(super) demand: BTreeMap<String, Demand>,
@@ -122,6 +132,23 @@
 }
 
 impl Fleet {
+    /// Records which machines of the waves the last list lacks.
+    fn note_missing(&mut self, asked: u64) {
+        let listed = |name: &str| self.rows.get(name).is_some_and(|row| !row.unlisted);
+        let planned = self.waves.values().flat_map(WaveState::names);
+        let missing = planned.filter(|name| !listed(name)).map(|name| {
+            let since = self.missing.get(name).copied().unwrap_or(asked);
+            (name.clone(), since)
+        });
+        self.missing = missing.collect();
+    }
+
+    /// True if all lists of some time lacked a machine of a wave.
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        let since = self.missing.get(name).copied();
+        since.is_some_and(|since| self.list_asked.is_some_and(|asked| asked >= since + GONE_MS))
+    }
+
     /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
     pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
         let row = self.rows.get_mut(name)?;
@@ -166,6 +193,7 @@
                         handover_until,
                         blocked_until,
                         unlisted: false,
+                        absences: 0,
                     }
                 }
             };
@@ -177,6 +205,7 @@
                 self.fleet.rows.insert(name, MachineRow { unlisted: true, ..row });
             }
         }
+        self.fleet.note_missing(asked);
         self.mark_emptying();
         self.requeue_gone_workers(now, asked);
     }
@@ -341,6 +370,7 @@
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
+                row.absences = 0;
                 let wave = order.wave();
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
@@ -372,9 +402,16 @@
                 }
                 if let Some(row) = self.fleet.rows.get_mut(name) {
                     row.order = None;
-                    row.blocked_until = now + 4 * BUSY_BACKOFF_MS;
+                    row.blocked_until = now + REFUSED_BACKOFF_MS;
                 }
             }
+            MachineOutcome::Absent => {
+                log::warn!(machine = name, goal:? = order.goal; "there is no such machine, or it cannot join the pool");
+                let upkeep = matches!(order.goal, Goal::Upkeep(_));
+                row.order = None;
+                row.blocked_until = now + (REFUSED_BACKOFF_MS << row.absences);
+                row.absences = if upkeep { MAX_DOUBLINGS.min(row.absences + 1) } else { row.absences };
+            }
             MachineOutcome::Fenced => {}
         }
     }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -49,6 +49,11 @@
 }
 
 impl WaveState {
+    /// Names of the machines in the wave.
+    pub(super) fn names(&self) -> impl Iterator<Item = &String> {
+        self.plan.machines.iter()
+    }
+
     /// Number of machines in the wave.
     pub(in super::super) const fn machines(&self) -> usize {
         self.plan.machines.len()
@@ -162,7 +167,9 @@
         for number in numbers {
             let Some(wave) = self.fleet.waves.get(&number).cloned() else { continue };
             let Some(stored) = self.table.waves.get(&number) else { continue };
-            let over = |name: &String| stored.begun.contains(name) || stored.excluded.contains(name);
+            let over = |name: &String| {
+                stored.begun.contains(name) || stored.excluded.contains(name) || self.fleet.is_gone(name)
+            };
             let due: Vec<String> = wave.plan.machines.iter().filter(|name| !over(name)).cloned().collect();
             self.report_wave(now, number, due.is_empty());
             if !due.is_empty() {
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -163,8 +163,10 @@
     Busy,
     /// The machine service has seen a higher fencing token.
     Fenced,
-    /// The machine is not part of the wave, or cannot join the pool.
+    /// The machine is not part of the wave.
     Refused,
+    /// There is no such machine, or it cannot join the pool.
+    Absent,
     /// Nothing was done; the order may be repeated later.
     NotNow,
     /// There was no answer; the order may still be executed.
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -202,6 +202,11 @@
         ours.map(|entry| entry.value == [1]).collect()
     }
 
+    /// Delays the answers to the next orders for upkeep, without end where there is no time.
+    pub(crate) fn delay_upkeeps(&self, delays: &[Option<Duration>]) {
+        self.shared.borrow_mut().upkeep_delays.extend(delays);
+    }
+
     /// Machines that got orders for upkeep in a wave.
     pub(crate) fn upkeeps(&self, number: u64) -> Vec<String> {
         let shared = self.shared.borrow();
@@ -209,6 +214,13 @@
         ours.map(|(_, machine)| machine.clone()).collect()
     }
 
+    /// Number of claims in the progress.
+    pub(crate) fn claim_count(&self) -> usize {
+        let shared = self.shared.borrow();
+        let claims = shared.logs[&Topic::Progress].entries.iter().filter(|entry| entry.key == "owner");
+        claims.map(|entry| &entry.value).collect::<BTreeSet<_>>().len()
+    }
+
     /// Names in the records of owners, oldest first.
     pub(crate) fn claims(&self) -> Vec<String> {
         let shared = self.shared.borrow();
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -1,7 +1,7 @@
 //! Store with fencing and groups, and its client for one node.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -93,6 +93,8 @@
     pub(super) task_stagger: Duration,
     pub(super) starts: usize,
     pub(super) duplicate_starts: usize,
+    /// Delays of the answers to the next orders for upkeep; none if there is no answer.
+    pub(super) upkeep_delays: VecDeque<Option<Duration>>,
     /// Orders for upkeep: number of the wave, and machine.
     pub(super) upkeeps: Vec<(u64, String)>,
     /// Time of the last start of a task of each job.
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -136,11 +136,17 @@
     }
 
     async fn move_to(&self, _: &str, _: &str, _: u64) -> MachineOutcome {
-        MachineOutcome::Refused
+        MachineOutcome::Absent
     }
 
     async fn maintain(&self, machine: &str, wave: u64, _: u64) -> MachineOutcome {
         self.shared.borrow_mut().upkeeps.push((wave, machine.to_owned()));
+        let delay = self.shared.borrow_mut().upkeep_delays.pop_front();
+        match delay {
+            Some(Some(delay)) => sleep(delay).await,
+            Some(None) => std::future::pending().await,
+            None => {}
+        }
         MachineOutcome::Taken
     }
 }
--- a/crates/jobs/tests/wave_records.rs
+++ b/crates/jobs/tests/wave_records.rs
@@ -2,6 +2,8 @@
 
 mod platform;
 
+use std::time::Duration;
+
 use platform::Cluster;
 use rattanfall_jobs::ports::Topic;
 
@@ -86,3 +88,22 @@
     })
     .await;
 }
+
+/// Guards against a wave that is shown as completed on the answer to an order of the same process as the owner before. Orders are
+/// numbered from 1 in each epoch.
+#[tokio::test(start_paused = true)]
+async fn an_answer_to_an_order_of_a_former_epoch_does_not_count() {
+    Cluster::run(1, |cluster| async move {
+        cluster.delay_upkeeps(&[Some(Duration::from_secs(12)), None]);
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(WAVE_MS).await;
+        let claims = cluster.claim_count();
+        cluster.compact();
+        cluster.run_for(2 * WAVE_MS).await;
+        assert!(cluster.claim_count() > claims, "there is no new epoch");
+        assert_eq!(cluster.upkeeps(1).len(), 2);
+        cluster.run_for(3 * WAVE_MS).await;
+        assert!(!cluster.reports(1).contains(&true), "{:?}", cluster.reports(1));
+    })
+    .await;
+}
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use rattanfall_jobs::dispatch::WaveProgress;
+use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Change, Entry, read_change, wave};
 use serde::{Deserialize, Serialize};
 use support::{MachineFault, World};
@@ -132,6 +133,64 @@
     assert_eq!(world.published.get(&1), Some(&true));
 }
 
+/// Guards against a wave that is shown as completed without a machine that the platform didn't know for a while.
+#[test]
+fn a_machine_that_is_listed_stays_due_when_an_order_finds_no_such_machine() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Answers(MachineOutcome::Absent));
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(5_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machine_fault = None;
+    world.run_for(15_000);
+    assert_eq!(maintained(&world), ALL[..1]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against a wave that is never completed because a machine of it has left, and against one that stays completed when the
+/// machine is back.
+#[test]
+fn a_machine_that_is_gone_is_due_only_once_it_is_listed_again() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.remove_machine("red-01");
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(5_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.run_for(15_000);
+    assert_eq!(maintained(&world), ALL[..1]);
+    assert_eq!(world.published.get(&1), Some(&true));
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.add_machine("red-01", "red", 1);
+    world.run_for(2_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machine_fault = None;
+    world.run_for(6_000);
+    assert_eq!(maintained(&world), ALL[..2]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
+/// Guards against orders without end to a machine that the platform knows not to be part of the wave.
+#[test]
+fn a_machine_that_is_not_of_the_wave_is_left_out_until_the_wave_changes() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Answers(MachineOutcome::Refused));
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(5_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (1, Some(&true)));
+    world.take_over();
+    world.pass_waves();
+    world.run_for(10_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (1, Some(&true)));
+    world.machine_fault = None;
+    world.write_wave(1, &ALL[..2], 2, 5_000);
+    world.run_for(8_000);
+    assert_eq!(maintained(&world), ALL[..2]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
 /// Progress of a wave as the release before stores it.
 #[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct FormerProgress {
