--- a/crates/jobs/examples/fleet_pass.rs
+++ b/crates/jobs/examples/fleet_pass.rs
@@ -8,7 +8,6 @@
 
 use std::time::Instant;
 
-use rattanfall_jobs::dispatch::event::Wave;
 use support::World;
 use support::large::waiting_fleet;
 
@@ -28,8 +27,8 @@
         measure(&mut world, machines, 1);
         let names: Vec<String> = world.machines.keys().cloned().collect();
         let most = u32::try_from(names.len()).unwrap_or(u32::MAX);
-        let plan = Wave { number: 2, machines: names, within_ms: WITHIN_MS, most };
-        world.dispatcher.plan_wave(world.now, plan);
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        world.write_wave(2, &names, most, WITHIN_MS);
         measure(&mut world, machines, 2);
     }
 }
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -39,6 +39,12 @@
 const OWN_HANDOVER_MS: u64 = 1_000;
 /// Time for which a machine gets no order after it was busy, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 800;
+/// Time for which a machine gets no order after one was refused, in milliseconds.
+const REFUSED_BACKOFF_MS: u64 = 3_200;
+/// Number of times that this time is doubled at most, while orders for upkeep find no such machine.
+const MAX_DOUBLINGS: u32 = 4;
+/// Time after which a machine that no list names is gone, in milliseconds.
+const GONE_MS: u64 = 10_000;
 
 /// Number of the last lists of machines whose times are known. Their span is longer than the time between two answers of a worker.
 const KNOWN_LISTS: usize = 16;
@@ -76,6 +82,8 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
+    /// True if the wave that it was given for was removed since; a later wave may have the same number.
+    pub(super) former: bool,
     /// Time at which it was last sent.
     sent: u64,
     /// True once it had to wait for a worker that the list doesn't name.
@@ -83,6 +91,14 @@
 }
 
 impl Order {
+    /// Wave that its answer counts for.
+    const fn wave(&self) -> Option<u64> {
+        match self.goal {
+            Goal::Upkeep(wave) if !self.former => Some(wave),
+            Goal::Upkeep(_) | Goal::Pool(_) => None,
+        }
+    }
+
     /// Id of the worker that was emptied for it; empty if there is none.
     fn emptied_worker(&self) -> &str {
         self.emptied.as_ref().map_or("", |place| place.worker.as_str())
@@ -104,6 +120,8 @@
     unlisted: bool,
     /// Request of the first list from which on all lists show it, with the same worker.
     unchanged_since: u64,
+    /// Number of orders for upkeep in a row that found no such machine.
+    absences: u32,
 }
 
 /// Times of a list of machines.
@@ -118,6 +136,10 @@
 pub(in super::super) struct Fleet {
     pub(super) rows: BTreeMap<String, MachineRow>,
     pub(super) waves: BTreeMap<u64, WaveState>,
+    /// Machines of waves that the last list lacked, with the time of the first list in a row that did.
+    pub(super) missing: BTreeMap<String, u64>,
+    /// Waves whose state is being published, with the time since which.
+    pub(super) publishing: BTreeMap<u64, u64>,
     pub(super) demand: BTreeMap<String, Demand>,
     last_plan: u64,
     /// Number of the last order.
@@ -129,13 +151,38 @@
 }
 
 impl Fleet {
+    /// Records which machines of the waves the last list lacks.
+    fn note_missing(&mut self, asked: u64) {
+        let listed = |name: &str| self.rows.get(name).is_some_and(|row| !row.unlisted);
+        let planned = self.waves.values().flat_map(WaveState::names);
+        let missing = planned.filter(|name| !listed(name)).map(|name| {
+            let since = self.missing.get(name).copied().unwrap_or(asked);
+            (name.clone(), since)
+        });
+        self.missing = missing.collect();
+    }
+
+    /// True if all lists of some time lacked a machine of a wave.
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        let since = self.missing.get(name).copied();
+        since.is_some_and(|since| self.list_asked.is_some_and(|asked| asked >= since + GONE_MS))
+    }
+
     /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
     pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
         let row = self.rows.get_mut(name)?;
         self.last_order += 1;
         let (number, stage) = (self.last_order, Stage::Emptying(now));
-        row.order =
-            Some(Order { number, goal, stage, emptied: None, begun: false, sent: now, delayed: false });
+        row.order = Some(Order {
+            number,
+            goal,
+            stage,
+            emptied: None,
+            begun: false,
+            former: false,
+            sent: now,
+            delayed: false,
+        });
         Some(&row.machine)
     }
 }
@@ -181,6 +228,7 @@
                         blocked_until,
                         unlisted: false,
                         unchanged_since,
+                        absences: 0,
                     }
                 }
             };
@@ -192,6 +240,7 @@
                 self.fleet.rows.insert(name, MachineRow { unlisted: true, unchanged_since: u64::MAX, ..row });
             }
         }
+        self.fleet.note_missing(asked);
         self.mark_emptying();
         self.requeue_gone_workers(now, asked);
     }
@@ -346,7 +395,8 @@
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
-                let goal = order.goal.clone();
+                row.absences = 0;
+                let wave = order.wave();
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
                 let ended = |key: &WorkerKey| {
@@ -359,7 +409,7 @@
                         worker.listed = false;
                     }
                 }
-                if let Goal::Upkeep(wave) = goal {
+                if let Some(wave) = wave {
                     self.mark_begun(wave, name);
                 }
             }
@@ -371,15 +421,22 @@
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
-                if let Goal::Upkeep(wave) = order.goal.clone() {
+                if let Some(wave) = order.wave() {
                     log::warn!(target: DECISIONS, machine = name, wave = wave; "the machine is not part of the wave");
                     self.skip_upkeep(wave, name);
                 }
                 if let Some(row) = self.fleet.rows.get_mut(name) {
                     row.order = None;
-                    row.blocked_until = now + 4 * BUSY_BACKOFF_MS;
+                    row.blocked_until = now + REFUSED_BACKOFF_MS;
                 }
             }
+            MachineOutcome::Absent => {
+                log::warn!(target: DECISIONS, machine = name, goal:? = order.goal; "there is no such machine, or it cannot join the pool");
+                let upkeep = matches!(order.goal, Goal::Upkeep(_));
+                row.order = None;
+                row.blocked_until = now + (REFUSED_BACKOFF_MS << row.absences);
+                row.absences = if upkeep { MAX_DOUBLINGS.min(row.absences + 1) } else { row.absences };
+            }
             MachineOutcome::Fenced => {}
         }
     }
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -163,8 +163,10 @@
     Busy,
     /// The machine service has seen a higher fencing token.
     Fenced,
-    /// The machine is not part of the wave, or cannot join the pool.
+    /// The machine is not part of the wave.
     Refused,
+    /// There is no such machine, or it cannot join the pool.
+    Absent,
     /// Nothing was done; the order may be repeated later.
     NotNow,
     /// There was no answer; the order may still be executed.
@@ -188,8 +190,10 @@
     Configure(Box<Catalog>),
     /// Evacuates an availability zone, so that nothing starts in it, if true; ends the evacuation if false.
     Evacuate(String, bool),
-    /// A maintenance wave.
+    /// A maintenance wave, or a change of it.
     Maintain(Wave),
+    /// The maintenance wave with this number was removed.
+    EndWave(u64),
 }
 
 /// Record of an operator or a worker that cannot be decoded.
--- a/crates/jobs/tests/fleet_cost.rs
+++ b/crates/jobs/tests/fleet_cost.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use rattanfall_jobs::dispatch::event::Wave;
 use support::World;
 use support::large::waiting_fleet;
 
@@ -31,8 +30,8 @@
         let mut world = waiting_fleet(machines);
         let names: Vec<String> = world.machines.keys().cloned().collect();
         let most = u32::try_from(names.len()).expect("a small number");
-        let plan = Wave { number: 2, machines: names, within_ms: 600_000, most };
-        world.dispatcher.plan_wave(world.now, plan);
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        world.write_wave(2, &names, most, 600_000);
         examined(&mut world)
     });
     assert!(small > 0, "no machine waits");
--- a/crates/jobs/tests/support/large.rs
+++ b/crates/jobs/tests/support/large.rs
@@ -1,6 +1,6 @@
 //! Large fleets whose machines wait with their orders, because the list of machines is older than the workers.
 
-use rattanfall_jobs::dispatch::event::{MachineState, Wave};
+use rattanfall_jobs::dispatch::event::MachineState;
 use rattanfall_jobs::spec::Step;
 
 use super::{ROUND_MS, World, cores, job, step};
@@ -50,8 +50,8 @@
     }
     let most = u32::try_from(unknown.len()).expect("a small number");
     // Without time to spare all machines get their orders at once.
-    let plan = Wave { number: 1, machines: unknown, within_ms: 1, most };
-    world.dispatcher.plan_wave(world.now, plan);
+    let unknown: Vec<&str> = unknown.iter().map(String::as_str).collect();
+    world.write_wave(1, &unknown, most, 1);
     world.run_for(500);
     assert_eq!(world.upkeeps, []);
     world
