Count a machine whose upkeep was given up as busy toward the limit

Callers saw: an upkeep begins while as many machines of its wave as allowed are down for theirs (LIMIT), after an order that was carried out without an answer, whose repeat found the machine busy, while no list could be read in between.

Cause: the answer "busy" ends the order. From then on the machine counted toward the limit only if the last list showed it in upkeep, and that list may be older than the first sending of the order.

Why it works: the machine counts until a list that was asked for after the answer is read, which shows an upkeep that has begun. The wave isn't completed by such an order: the machine stays due, and the platform accepts the next one as carried out.

Test, failed before: an_upkeep_whose_repeat_finds_the_machine_busy_counts_toward_the_limit waves.rs:291: at 1600 (two machines in upkeep, one allowed)

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -112,6 +112,9 @@
     unlisted: bool,
     /// Number of orders for upkeep in a row that found no such machine.
     absences: u32,
+    /// Time at which an order was given up since the machine was busy, until a later list is read. An earlier sending of the
+    /// order may have been carried out.
+    pub(super) given_up: Option<u64>,
 }
 
 /// State of the machines, the waves and the demand of the pools.
@@ -181,7 +184,8 @@
             let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    MachineRow { machine, unlisted: false, ..row }
+                    let given_up = row.given_up.filter(|at| *at >= asked);
+                    MachineRow { machine, unlisted: false, given_up, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
@@ -194,6 +198,7 @@
                         blocked_until,
                         unlisted: false,
                         absences: 0,
+                        given_up: None,
                     }
                 }
             };
@@ -393,6 +398,7 @@
             }
             MachineOutcome::Busy => {
                 row.order = None;
+                row.given_up = Some(now);
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -180,11 +180,13 @@
 
     fn select_machines(&mut self, now: u64, number: u64, wave: &WaveState, due: &[String]) {
         let goal = Goal::Upkeep(number);
-        // Orders of a former owner show only in the list, or are too recent to show there.
+        // Orders of a former owner, and those that were given up, show only in the list, or are too recent to show there.
         let ordered_before = |row: &MachineRow| {
             row.order.is_none()
                 && wave.plan.machines.contains(&row.machine.name)
-                && (row.machine.state == MachineState::Upkeep || row.handover_until > now)
+                && (row.machine.state == MachineState::Upkeep
+                    || row.handover_until > now
+                    || row.given_up.is_some())
         };
         let ordered = |row: &MachineRow| row.order.as_ref().is_some_and(|order| order.goal == goal);
         let busy = self.fleet.rows.values().filter(|row| ordered(row) || ordered_before(row)).count();
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use rattanfall_jobs::dispatch::WaveProgress;
+use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Change, Entry, read_change, wave};
 use serde::{Deserialize, Serialize};
@@ -267,3 +268,30 @@
     world.run_for(8_000);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against more machines in upkeep than allowed, after an order that was carried out without an answer and whose repeat found
+/// the machine busy.
+#[test]
+fn an_upkeep_whose_repeat_finds_the_machine_busy_counts_toward_the_limit() {
+    let mut world = World::new(ALL.len());
+    world.set_options(Options { list_ms: 2_000, list_busy_ms: 2_000, ..Options::default() });
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.machine_fault = Some(MachineFault::Answers(MachineOutcome::Busy));
+    while world.machine_orders < 2 {
+        world.round();
+    }
+    world.machine_fault = None;
+    for _ in 0..2_000 {
+        world.round();
+        assert!(world.in_upkeep() <= 1, "at {}", world.now);
+    }
+    let mut names = maintained(&world);
+    names.sort_unstable();
+    assert_eq!(names, ALL[..2]);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
