--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -122,6 +122,9 @@
     unchanged_since: u64,
     /// Number of orders for upkeep in a row that found no such machine.
     absences: u32,
+    /// Time at which an order was given up since the machine was busy, until a later list is read. An earlier sending of the
+    /// order may have been carried out.
+    pub(super) given_up: Option<u64>,
 }
 
 /// Times of a list of machines.
@@ -215,7 +218,8 @@
             let row = match known {
                 Some(mut row) => {
                     row.finish_order(asked, &machine);
-                    MachineRow { machine, unlisted: false, unchanged_since, ..row }
+                    let given_up = row.given_up.filter(|at| *at >= asked);
+                    MachineRow { machine, unlisted: false, unchanged_since, given_up, ..row }
                 }
                 None => {
                     let blocked_until = self.initial_block(now, &machine.name);
@@ -229,6 +233,7 @@
                         unlisted: false,
                         unchanged_since,
                         absences: 0,
+                        given_up: None,
                     }
                 }
             };
@@ -418,6 +423,7 @@
             }
             MachineOutcome::Busy => {
                 row.order = None;
+                row.given_up = Some(now);
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
