Look for a machine's next worker also if the listed one doesn't answer

Cause: a machine whose listed worker was known counted as empty once that worker had no runs, also if it had ended and the directory still showed it. An order could end the runs of the machine's next worker.

--- a/crates/jobs/src/dispatch/systems/fleet/unnamed.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/unnamed.rs
@@ -1,6 +1,6 @@
 //! Workers that the list of machines doesn't name.
 //!
-//! If the listed worker of a machine is unknown, the machine may have started another one since the list was read. A worker that the
+//! If the listed worker of a machine is unknown or doesn't answer, the machine may have started another one since the list was read. A worker that the
 //! list never names is elsewhere if two lists in a row show the machine with the same other worker or with none, and the worker's
 //! process was up all the while: by its own answers, from some time before the first one was requested until after the second one
 //! was read.
@@ -30,12 +30,15 @@
 }
 
 impl Dispatcher {
-    /// True if a listed machine may have runs. If its listed worker is unknown, a worker with runs that the list doesn't name may be
-    /// on it; these are searched for once and kept in `unnamed`.
+    /// True if a listed machine may have runs. If its listed worker is unknown or doesn't answer, a worker with runs that the list
+    /// doesn't name may be on it; these are searched for once and kept in `unnamed`.
     pub(super) fn may_have_runs(&mut self, name: &str, unnamed: &mut Option<UnnamedWorkers>) -> bool {
         let Some(row) = self.fleet.rows.get(name) else { return false };
         if let Some(worker) = self.machine_worker(row).and_then(|key| self.workers.get(key)) {
-            return !worker.runs.is_empty();
+            let busy = !worker.runs.is_empty();
+            if busy || worker.responds() {
+                return busy;
+            }
         }
         let Some(pool) = self.pools.key(&row.machine.pool) else { return false };
         if unnamed.is_none() {
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -299,6 +299,28 @@
     assert_eq!(world.published.get(&1), Some(&true));
 }
 
+/// Guards against an order that ends the runs of a machine's next worker, since the listed one is gone without runs and the directory
+/// still shows it.
+#[test]
+fn an_order_waits_for_a_list_that_names_the_next_worker_of_a_machine() {
+    let mut world = world(1, 0);
+    world.machines_unread = true;
+    let gone = world.worker_on("red-00");
+    let pool = world.kill_worker(&gone).pool;
+    world.machines.get_mut("red-00").expect("the machine is listed").1 = Some((world.now + 50, pool));
+    run_until(&mut world, "restart", |world| !world.workers.is_empty());
+    world.submit(job(1, vec![step(4, cores(2), 2_000)]));
+    run_until(&mut world, "start", |world| world.starts.len() == 4);
+    world.plan_wave(&["red-00"], 1, 5_000);
+    run_checked(&mut world, 1_500);
+    assert_eq!(world.upkeeps, []);
+    world.machines_unread = false;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
 /// World in which the listed worker of `red-00` is gone, and all other workers have a task that lasts. The machine of one of
 /// them, in the same availability zone, has left the list.
 fn world_with_unlisted_worker() -> World {
