Count a machine of a wave as gone only if several lists in a row lack it

Cause: two lists with 10 s between them were enough, also if none could be read in between, and the wave was shown as completed.

waves::a_machine_that_only_two_lists_lack_stays_due failed before: left Some(true), right Some(false).

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -45,6 +45,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Time after which a machine that no list names is gone, in milliseconds.
 const GONE_MS: u64 = 10_000;
+/// Lists within that time that must lack it.
+const GONE_LISTS: u32 = 5;
 
 /// Number of the last lists of machines whose times are known. Their span is longer than the time between two answers of a worker.
 const KNOWN_LISTS: usize = 16;
@@ -127,6 +129,15 @@
     pub(super) given_up: Option<u64>,
 }
 
+/// Lists in a row that lack a machine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Absence {
+    /// Time at which the first of them was requested.
+    since: u64,
+    /// Number of them.
+    lists: u32,
+}
+
 /// Times of a list of machines.
 #[derive(Clone, Copy, Debug)]
 struct ListTimes {
@@ -139,8 +150,8 @@
 pub(in super::super) struct Fleet {
     pub(super) rows: BTreeMap<String, MachineRow>,
     pub(super) waves: BTreeMap<u64, WaveState>,
-    /// Machines of waves that the last list lacked, with the time of the first list in a row that did.
-    pub(super) missing: BTreeMap<String, u64>,
+    /// Machines of waves that the last list lacked.
+    pub(super) missing: BTreeMap<String, Absence>,
     /// Waves whose state is being published, with the time since which.
     pub(super) publishing: BTreeMap<u64, u64>,
     pub(super) demand: BTreeMap<String, Demand>,
@@ -159,16 +170,16 @@
         let listed = |name: &str| self.rows.get(name).is_some_and(|row| !row.unlisted);
         let planned = self.waves.values().flat_map(WaveState::names);
         let missing = planned.filter(|name| !listed(name)).map(|name| {
-            let since = self.missing.get(name).copied().unwrap_or(asked);
-            (name.clone(), since)
+            let known = self.missing.get(name).copied().unwrap_or(Absence { since: asked, lists: 0 });
+            (name.clone(), Absence { lists: known.lists + 1, ..known })
         });
         self.missing = missing.collect();
     }
 
-    /// True if all lists of some time lacked a machine of a wave.
+    /// True if several lists in a row, over some time, lacked a machine of a wave.
     pub(super) fn is_gone(&self, name: &str) -> bool {
-        let since = self.missing.get(name).copied();
-        since.is_some_and(|since| self.list_asked.is_some_and(|asked| asked >= since + GONE_MS))
+        let Some(absence) = self.missing.get(name) else { return false };
+        absence.lists >= GONE_LISTS && self.list_asked.is_some_and(|asked| asked >= absence.since + GONE_MS)
     }
 
     /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -295,3 +295,25 @@
     assert_eq!(names, ALL[..2]);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against a wave that is shown as completed because two lists with a long time between them lack a machine.
+#[test]
+fn a_machine_that_only_two_lists_lack_stays_due() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.write_wave(1, &ALL[..1], 1, 30_000);
+    world.machines_unread = true;
+    for _ in 0..2 {
+        world.run_for(10_000);
+        let mut list = world.list_machines();
+        list.retain(|machine| machine.name != ALL[0]);
+        world.dispatcher.set_machines(world.now, world.now, list);
+    }
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machines_unread = false;
+    world.machine_fault = None;
+    world.run_for(10_000);
+    assert_eq!((maintained(&world), world.published.get(&1)), (vec![ALL[0]], Some(&true)));
+}
