Count machines of a former record of a wave toward its limit

Cause: after a takeover only machines of the present record counted, so a machine of the former one that was down was not, and one more than allowed got its upkeep.

Any machine in upkeep without an order of this owner counts now, as the list doesn't tell to which wave it belongs.

--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -181,13 +181,16 @@
 
     fn select_machines(&mut self, now: u64, number: u64, wave: &WaveState, due: &[String]) {
         let goal = Goal::Upkeep(number);
-        // Orders of a former owner, and those that were given up, show only in the list, or are too recent to show there.
+        let begun = self.table.waves.get(&number).map(|stored| &stored.begun);
+        let planned = |name: &String| {
+            wave.plan.machines.contains(name) || begun.is_some_and(|begun| begun.contains(name))
+        };
+        // Orders of a former owner, and those that were given up, show only in the list, or are too recent to show there. The list
+        // doesn't tell to which wave an upkeep belongs, or the wave's record may have changed since.
         let ordered_before = |row: &MachineRow| {
             row.order.is_none()
                 && (row.machine.state == MachineState::Upkeep
-                    || row.handover_until > now
-                    || row.given_up.is_some())
-                && wave.plan.machines.contains(&row.machine.name)
+                    || (row.handover_until > now || row.given_up.is_some()) && planned(&row.machine.name))
         };
         let ordered = |row: &MachineRow| row.order.as_ref().is_some_and(|order| order.goal == goal);
         let busy = self.fleet.rows.values().filter(|row| ordered(row) || ordered_before(row)).count();
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -9,7 +9,7 @@
 use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Change, Entry, read_change, wave};
 use serde::{Deserialize, Serialize};
-use support::{MachineFault, World};
+use support::{MachineFault, ROUND_MS, World};
 
 const ALL: [&str; 4] = ["red-00", "red-01", "red-02", "red-03"];
 
@@ -296,6 +296,25 @@
     assert_eq!(world.published.get(&1), Some(&true));
 }
 
+/// Guards against more machines in upkeep than allowed, if a new owner reads a changed record while a machine of the former one is
+/// down.
+#[test]
+fn a_machine_of_a_former_record_counts_toward_the_limit_after_a_takeover() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    while world.in_upkeep() == 0 {
+        world.round();
+    }
+    world.take_over();
+    world.write_wave(1, &ALL[2..], 1, 5_000);
+    for _ in 0..15_000 / ROUND_MS {
+        world.round();
+        assert!(world.in_upkeep() <= 1, "at {}", world.now);
+    }
+    assert_eq!(maintained(&world)[1..], ALL[2..]);
+}
+
 /// Guards against a wave that is shown as completed because two lists with a long time between them lack a machine.
 #[test]
 fn a_machine_that_only_two_lists_lack_stays_due() {
