Publish a wave as completed only once its progress is stored

Cause: the set of waves to store is emptied when a write is created, so a wave was published before the write was stored. The next owner showed it as running again.

waves::a_wave_is_shown_as_completed_only_once_its_progress_is_stored failed before (published at 1600).

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -129,6 +129,8 @@
     stored_parts: StoredParts,
     stale_jobs: StaleJobs,
     dirty_waves: BTreeSet<u64>,
+    /// Last write with the progress of each wave.
+    wave_writes: BTreeMap<u64, WriteNumber>,
     /// True if the owner's record is to be written again. The store refuses that write if there is a newer
     /// owner.
     owner_dirty: bool,
@@ -222,6 +224,7 @@
             stored_parts: StoredParts::default(),
             stale_jobs: StaleJobs::default(),
             dirty_waves: BTreeSet::new(),
+            wave_writes: BTreeMap::new(),
             owner_dirty: false,
             dirty_orders: BTreeMap::new(),
             unstored_orders: VecDeque::new(),
@@ -402,6 +405,11 @@
         }
         for number in std::mem::take(&mut self.dirty_waves) {
             let wave = self.table.waves.get(&number);
+            if wave.is_some() {
+                self.wave_writes.insert(number, self.last_write);
+            } else {
+                self.wave_writes.remove(&number);
+            }
             entries
                 .push(wave.map_or_else(|| record::dropped_wave(number), |wave| record::wave(number, wave)));
         }
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -265,7 +265,8 @@
             return;
         }
         // A wave is published as complete only once the set of its maintained machines is stored.
-        if complete && self.dirty_waves.contains(&number) {
+        let writing = self.wave_writes.get(&number).is_some_and(|write| *write > self.stored_write);
+        if complete && (writing || self.dirty_waves.contains(&number)) {
             return;
         }
         wave.last_report = now;
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use rattanfall_jobs::dispatch::WaveProgress;
+use rattanfall_jobs::dispatch::command::Command;
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Change, Entry, read_change, wave};
@@ -296,6 +297,27 @@
     assert_eq!(world.published.get(&1), Some(&true));
 }
 
+/// Guards against a wave that is shown as completed, and by the next owner as running, since its progress was never stored.
+#[test]
+fn a_wave_is_shown_as_completed_only_once_its_progress_is_stored() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    let write = world.dispatcher.take_write(world.now).expect("the upkeep has begun");
+    for _ in 0..1_000 / ROUND_MS {
+        world.now += ROUND_MS;
+        world.dispatcher.tick(world.now);
+        assert!(!world.dispatcher.take_commands().contains(&Command::Publish(1, true)), "at {}", world.now);
+    }
+    world.store(&write);
+    world.dispatcher.stored(world.now, &write);
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
+
 /// Guards against more machines in upkeep than allowed, if a new owner reads a changed record while a machine of the former one is
 /// down.
 #[test]
