Add a port for records that are forwarded to another instance

An instance can take records of the intake from another one and store them with its own. Nothing forwards yet: the adapter answers that no other instance can be reached.

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -41,6 +41,14 @@
                     let _ = sender.send(self.view(query));
                     continue;
                 }
+                Message::Forward(entries, wait, sender) => {
+                    let node = Rc::clone(&self);
+                    spawn_local(async move {
+                        // If this fails, the other instance is told that the outcome is unknown.
+                        node.contain("forwarded", node.store_forwarded(entries, wait, sender)).await
+                    });
+                    continue;
+                }
             };
             let node = Rc::clone(&self);
             spawn_local(async move {
--- a/crates/jobs/src/node/calls/mod.rs
+++ b/crates/jobs/src/node/calls/mod.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
@@ -9,6 +10,8 @@
 use super::view::{Query, View};
 use crate::ids::JobId;
 use crate::metrics::{Meters, MetricsError};
+use crate::ports::Forwarded;
+use crate::record::Entry;
 use crate::spec::{BadJob, Schedule, Step};
 use crate::table::JobState;
 
@@ -133,6 +136,8 @@
     Call(Call, oneshot::Sender<Answer>),
     /// Query from an operator.
     Query(Query, oneshot::Sender<View>),
+    /// Records of the intake that another instance forwards, with the time within which they are to be stored.
+    Forward(Vec<Entry>, Duration, oneshot::Sender<Forwarded>),
 }
 
 /// Handle to a node for servers on other threads.
@@ -175,6 +180,16 @@
         }
         wait.await.unwrap_or(Answer::Unknown)
     }
+
+    /// Hands the node records of the intake that another instance forwards.
+    pub async fn forward(&self, entries: Vec<Entry>, wait: Duration) -> Forwarded {
+        let (outcome, answer) = oneshot::channel();
+        if self.calls.send(Message::Forward(entries, wait, outcome)).await.is_err() {
+            return Forwarded::Refused;
+        }
+        answer.await.unwrap_or(Forwarded::Unknown)
+    }
+
     /// Queries the node for a view. None if the node has stopped.
     pub async fn view(&self, query: Query) -> Option<View> {
         let (answer, wait) = oneshot::channel();
--- a/crates/jobs/src/node/intake.rs
+++ b/crates/jobs/src/node/intake.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -10,7 +11,7 @@
 use super::Node;
 use super::state::{PendingRecord, Stored};
 use super::work::decode_intake;
-use crate::ports::{Platform, Store, StoreError, Topic};
+use crate::ports::{Forwarded, Platform, Store, StoreError, Topic};
 use crate::record::{Entry, count_fitting};
 
 /// Maximum number of concurrent appends. More than one, so that a lost answer does not delay other callers.
@@ -31,6 +32,27 @@
         wait.await.unwrap_or(Stored::Unknown)
     }
 
+    /// Stores records that another instance forwards. They are refused only if none of them may be stored.
+    pub(super) async fn store_forwarded(
+        &self,
+        entries: Vec<Entry>,
+        wait: Duration,
+        outcome: oneshot::Sender<Forwarded>,
+    ) {
+        let deadline = Instant::now() + wait;
+        let stored = join_all(entries.into_iter().map(|entry| self.store_intake(entry, deadline))).await;
+        let all = |expected| stored.iter().all(|stored| *stored == expected);
+        let forwarded = if all(Stored::Yes) {
+            Forwarded::Stored
+        } else if all(Stored::No) {
+            Forwarded::Refused
+        } else {
+            Forwarded::Unknown
+        };
+        // The other instance may have given up.
+        let _ = outcome.send(forwarded);
+    }
+
     /// Appends queued records in batches.
     pub(super) async fn write_intake(self: Rc<Self>) {
         loop {
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -183,6 +183,26 @@
     fn maintain(&self, machine: &str, wave: u64, token: u64) -> impl Future<Output = MachineOutcome>;
 }
 
+/// Outcome of records that were forwarded to another instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Forwarded {
+    /// The records are stored.
+    Stored,
+    /// None of the records is stored, nor will it be by that instance.
+    Refused,
+    /// The instance could not be reached; nothing was sent.
+    Unreachable,
+    /// There was no answer, or the instance doesn't know either; the records may be stored.
+    Unknown,
+}
+
+/// Other entry instances.
+pub trait Peers {
+    /// Forwards records of the intake to a process, which stores them together with its own within `wait`. `member` is the
+    /// name of the process in its group.
+    fn forward(&self, member: &str, entries: &[Entry], wait: Duration) -> impl Future<Output = Forwarded>;
+}
+
 /// Instruction from an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Instruction {
@@ -214,6 +234,8 @@
     type Upstreams: Upstreams;
     /// Client of the machine service.
     type Machines: Machines;
+    /// Client of the other entry instances.
+    type Peers: Peers;
 
     /// Returns the store client.
     fn store(&self) -> &Self::Store;
@@ -221,6 +243,8 @@
     fn upstreams(&self) -> &Self::Upstreams;
     /// Returns the client of the machine service.
     fn machines(&self) -> &Self::Machines;
+    /// Returns the client of the other entry instances.
+    fn peers(&self) -> &Self::Peers;
 
     /// Decodes a record of `Topic::Operator`; none if it contains no instruction.
     ///
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -9,12 +9,14 @@
 mod store;
 mod workers;
 
+use std::time::Duration;
+
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
 use rattanfall_jobs::dispatch::event::{Wave, WorkerRecord};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Call, JobRequest, Verb};
 use rattanfall_jobs::node::unix_ms;
-use rattanfall_jobs::ports::{Instruction, InvalidRecord, Platform};
+use rattanfall_jobs::ports::{Forwarded, Instruction, InvalidRecord, Peers, Platform};
 use rattanfall_jobs::record::Entry;
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 
@@ -30,6 +32,7 @@
     type Store = Self;
     type Upstreams = Self;
     type Machines = Self;
+    type Peers = Self;
 
     fn store(&self) -> &Self {
         self
@@ -43,6 +46,10 @@
         self
     }
 
+    fn peers(&self) -> &Self {
+        self
+    }
+
     fn instruction(&self, entry: &Entry) -> Result<Option<Instruction>, InvalidRecord> {
         if let Some(number) = entry.key.strip_prefix("wave/") {
             let number = number.parse().expect("the test writes a number");
@@ -83,6 +90,12 @@
     }
 }
 
+impl Peers for MemoryPlatform {
+    async fn forward(&self, _: &str, _: &[Entry], _: Duration) -> Forwarded {
+        Forwarded::Unreachable
+    }
+}
+
 fn terms() -> Terms {
     Terms { pool: "red".into(), priority: 0, attempts: 3, stretch_percent: 160, target_ms: 600 }
 }
