Close idle connections to a worker after a request without a response

Callers saw 504 with an unknown outcome once for each idle connection that the worker had lost track of, although new connections worked: only the connection of the request itself was closed.

The new test failed before with a timeout of the second request.

--- a/crates/entry/src/upstreams/exchange.rs
+++ b/crates/entry/src/upstreams/exchange.rs
@@ -81,7 +81,14 @@
         return Err(Failure::Unsent(Box::new(request)));
     };
     let id = request.headers().get(REQUEST_ID_HEADER).cloned();
-    let (connection, response) = send_once(pool, address, request, deadline).await?;
+    let sent = Instant::now();
+    let (connection, response) =
+        send_once(pool, address, request, deadline).await.inspect_err(|failure| {
+            // The worker may have lost track of all connections, while new ones work.
+            if matches!(failure, Failure::TimedOut) {
+                pool.close_idle(address, sent.into_std());
+            }
+        })?;
     if response.headers().get(REQUEST_ID_HEADER) != id.as_ref() {
         return Err(Failure::Corrupt);
     }
--- a/crates/entry/src/upstreams/pool.rs
+++ b/crates/entry/src/upstreams/pool.rs
@@ -127,6 +127,13 @@
         }
     }
 
+    /// Closes the connections to an address that have been idle since before a time.
+    pub(super) fn close_idle(&self, address: &str, before: Instant) {
+        if let Some(endpoint) = self.endpoints.lock().get_mut(address) {
+            endpoint.idle.retain(|idle| idle.since >= before);
+        }
+    }
+
     /// Closes connections that were idle for too long and removes addresses without connections.
     pub fn evict_idle(&self) {
         self.endpoints.lock().retain(|_, endpoint| {
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::Request;
 use rattanfall_entry::config::UpstreamConfig;
-use rattanfall_entry::upstreams::{Failure, Pool, SendBody, body_channel, exchange};
+use rattanfall_entry::upstreams::{Failure, Pool, PooledResponse, SendBody, body_channel, exchange};
 use support::until;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -151,3 +151,48 @@
     let response = exchange(&pool(1), &address, request(body), soon()).await;
     assert!(matches!(response, Err(Failure::Corrupt)), "{response:?}");
 }
+
+/// Guards against sending a request on a connection that is as old as one on which no response came: the worker has
+/// lost track of all of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_a_response_closes_the_older_idle_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    // Responses on the first two connections need a permit; there are two.
+    let (opened, responses) = (Arc::new(AtomicUsize::new(0)), Arc::new(Semaphore::new(0)));
+    let (count, permits) = (Arc::clone(&opened), Arc::clone(&responses));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let number = count.fetch_add(1, Ordering::SeqCst);
+            let permits = Arc::clone(&permits);
+            tokio::spawn(async move {
+                let mut head = [0; 512];
+                while stream.read(&mut head).await.unwrap_or(0) > 0 {
+                    if number < 2 {
+                        permits.acquire().await.unwrap().forget();
+                    }
+                    stream.write_all(RESPONSE).await.unwrap();
+                }
+            });
+        }
+    });
+    let pool = pool(3);
+    let send = |deadline| {
+        let (pool, address) = (Arc::clone(&pool), address.clone());
+        async move {
+            let body = SendBody::buffered(Bytes::new());
+            exchange(&pool, &address, request(body), deadline).await.map(PooledResponse::release)
+        }
+    };
+    let both = [tokio::spawn(send(soon())), tokio::spawn(send(soon()))];
+    until("two connections", || async { opened.load(Ordering::SeqCst) == 2 }).await;
+    responses.add_permits(2);
+    for sent in both {
+        sent.await.unwrap().expect("a response");
+    }
+    let failed = send(Instant::now() + Duration::from_millis(200)).await;
+    assert!(matches!(failed, Err(Failure::TimedOut)), "{failed:?}");
+    let next = send(Instant::now() + Duration::from_secs(2)).await;
+    assert!(next.is_ok(), "{next:?}");
+    assert_eq!(opened.load(Ordering::SeqCst), 3);
+}
