Publish the state of a wave again after a call without an answer

Operators could see a wave as completed whose record had got more machines meanwhile (MIXED): the call that published 'completed' had no answer and was stored later. The owner still took 'running' for the published state, and so published nothing after the change of the record.

The published state is now unknown after a call without success, and the next state is published whatever it is.

waves::a_published_state_without_an_answer_is_followed_by_that_of_a_newer_record failed before: no state was published within a second of the change.

--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -43,7 +43,7 @@
     offset: u64,
     /// Time by which all machines must be maintained.
     deadline: u64,
-    /// State that was last stored as published: none, running (false) or complete (true).
+    /// State that was last stored as published: running (false) or complete (true); none if unknown.
     reported: Option<bool>,
     /// Time of the last attempt to publish the state.
     last_report: u64,
@@ -274,15 +274,14 @@
         self.commands.push(Command::Publish(number, complete));
     }
 
-    /// Handles whether a published state was stored.
+    /// Handles whether a published state was stored. One that got no answer may be stored later.
     pub fn published(&mut self, number: u64, complete: bool, stored: bool) {
         self.fleet.publishing.remove(&number);
-        if let Some(wave) = self.fleet.waves.get_mut(&number).filter(|_| stored) {
-            wave.reported = Some(complete);
-            log::info!(
-                target: DECISIONS, wave = number, complete = complete, machines = wave.plan.machines.len();
-                "the state of a wave of upkeep was published"
-            );
-        }
+        let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
+        wave.reported = stored.then_some(complete);
+        log::info!(
+            target: DECISIONS, wave = number, complete = complete, machines = wave.plan.machines.len(), stored = stored;
+            "the state of a wave of upkeep was published"
+        );
     }
 }
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -358,3 +358,22 @@
     world.run_for(10_000);
     assert_eq!((maintained(&world), world.published.get(&1)), (vec![ALL[0]], Some(&true)));
 }
+
+/// Guards against a wave that is shown as completed on its former record, by a published state that got no answer and is stored later.
+#[test]
+fn a_published_state_without_an_answer_is_followed_by_that_of_a_newer_record() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.run_for(300);
+    world.holds_reports = true;
+    while world.held_reports.is_empty() {
+        world.round();
+    }
+    assert_eq!(std::mem::take(&mut world.held_reports), [(1, true)]);
+    world.dispatcher.published(1, true, false);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(1_000);
+    assert_eq!(world.held_reports, [(1, false)]);
+}
