Publish each state of a wave under a fencing token of its own

Operators could see a wave as completed while machines of its newer record were due (MIXED): states of waves were appended without a fence, and the store may carry out a call without an answer after a later one of this owner or of the next one.

Each call now has a token between the epoch of its owner and the next epoch, and each is higher than the one before, so the store refuses an older one that comes late. No calls or reads are added.

The tests failed before with the states running, completed, completed and running, running, completed, while a machine was due.

--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::{Counters, Dispatcher, Write};
 use crate::ids::JobId;
 use crate::ports::{Fence, Machines, Platform, Store, StoreError, Topic, Upstreams};
-use crate::record::{Entry, count_fitting, dropped_cancellation, dropped_submission};
+use crate::record::{Entry, count_fitting, dropped_cancellation, dropped_submission, next_epoch};
 
 /// Maximum interval between two ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -274,10 +274,33 @@
                 self.notify_dispatcher(epoch, |d, now| d.machine_ordered(now, &order, outcome));
             }
             Command::Publish(wave, complete) => {
-                let entry = self.platform.wave_report(wave, complete);
-                let stored = self.platform.store().append(Topic::Reports, &[entry], None, None).await;
-                self.notify_dispatcher(epoch, |d, _| d.published(wave, complete, stored.is_ok()));
+                let stored = self.publish_report(epoch, &self.platform.wave_report(wave, complete)).await;
+                self.notify_dispatcher(epoch, |d, _| d.published(wave, complete, stored));
             }
         }
     }
+
+    /// Appends a report under a fencing token of its own. The store refuses it once a later one, of this owner or of a newer one,
+    /// is stored. True if it is stored.
+    async fn publish_report(&self, epoch: u64, report: &Entry) -> bool {
+        let token = {
+            let mut state = self.state.borrow_mut();
+            state.report_token = state.report_token.max(epoch) + 1;
+            state.report_token
+        };
+        if token >= next_epoch(epoch) {
+            self.step_down("all fencing tokens for reports are used up");
+            return false;
+        }
+        let fence = Fence { epoch: token, sequence: 0 };
+        let appended = self
+            .platform
+            .store()
+            .append(Topic::Reports, std::slice::from_ref(report), Some(fence), None)
+            .await;
+        if let Err(error) = appended {
+            log::warn!(error:% = error, key = report.key.as_str(), token = token; "a report could not be stored");
+        }
+        appended.is_ok()
+    }
 }
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -126,6 +126,8 @@
     pub(super) stopping: bool,
     /// Sequence number of the owner's next append to the progress.
     pub(super) sequence: u64,
+    /// Fencing token of this process's last report to operators.
+    pub(super) report_token: u64,
     /// Jobs of the owner whose state may differ from the published summary.
     pub(super) unpublished: BTreeSet<JobId>,
 }
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -49,6 +49,8 @@
     LoseFirstAnswers,
     /// Appends to the intake are executed seconds later, without an answer.
     DelayIntake,
+    /// Appends to the reports are executed seconds later, without an answer, if their condition still holds.
+    DelayReports,
     /// Calls are neither executed nor answered.
     Unavailable,
 }
@@ -234,12 +236,13 @@
         self.link.answer(bytes).await;
     }
 
-    /// Appends records to the intake some time later.
-    fn append_late(&self, entries: Vec<Entry>) {
+    /// Appends records some time later, unless the fence or the offset refuses them by then.
+    fn append_late(&self, topic: Topic, entries: Vec<Entry>, fence: Option<Fence>, at: Option<u64>) {
         let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
         spawn_local(async move {
             sleep(LATE_TIME).await;
-            shared.borrow_mut().logs.entry(Topic::Intake).or_default().entries.extend(entries);
+            // Nobody waits for the answer.
+            let _ = shared.borrow_mut().logs.entry(topic).or_default().append(&entries, fence, at);
             appended.notify_waiters();
         });
     }
@@ -320,8 +323,12 @@
                 Topic::Intake => self.shared.borrow_mut().fail_at(Defect::Submission),
                 _ => {}
             }
-            if topic == Topic::Intake && self.shared.borrow().fault == Fault::DelayIntake {
-                self.append_late(entries.to_vec());
+            let fault = self.shared.borrow().fault;
+            if matches!(
+                (topic, fault),
+                (Topic::Intake, Fault::DelayIntake) | (Topic::Reports, Fault::DelayReports)
+            ) {
+                self.append_late(topic, entries.to_vec(), fence, at);
                 std::future::pending::<()>().await;
             }
             let (result, is_new) = {
--- a/crates/jobs/tests/wave_records.rs
+++ b/crates/jobs/tests/wave_records.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use platform::Cluster;
+use platform::{Cluster, Fault};
 use rattanfall_jobs::ports::Topic;
 
 /// Time in which a wave of a few machines is completed, in milliseconds.
@@ -107,3 +107,43 @@
     })
     .await;
 }
+
+/// Guards against a wave that is shown as completed by a state that was published for its former record and is stored after a newer
+/// one.
+#[tokio::test(start_paused = true)]
+async fn a_state_that_is_stored_late_does_not_follow_one_of_a_newer_record() {
+    Cluster::run(1, |cluster| async move {
+        cluster.delay_upkeeps(&[Some(Duration::from_millis(500)), None]);
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(400).await;
+        assert_eq!(cluster.reports(1), [false]);
+        cluster.set_fault(Fault::DelayReports);
+        cluster.run_for(1_600).await;
+        cluster.set_fault(Fault::None);
+        cluster.write_wave(1, &[0, 1]);
+        cluster.run_for(2 * WAVE_MS).await;
+        assert_eq!(cluster.reports(1).last(), Some(&false), "{:?}", cluster.reports(1));
+    })
+    .await;
+}
+
+/// Guards against a wave that is shown as completed by a state that the former owner published and that is stored after one of the
+/// new owner.
+#[tokio::test(start_paused = true)]
+async fn a_state_of_a_former_owner_does_not_follow_one_of_the_new_owner() {
+    Cluster::run(2, |cluster| async move {
+        cluster.delay_upkeeps(&[Some(Duration::from_millis(500)), None]);
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(400).await;
+        cluster.set_fault(Fault::DelayReports);
+        cluster.run_for(1_000).await;
+        cluster.set_fault(Fault::None);
+        let owner = cluster.owner();
+        cluster.kill(owner);
+        cluster.write_wave(1, &[0, 1]);
+        cluster.run_for(3 * WAVE_MS).await;
+        assert_ne!(cluster.owner(), owner);
+        assert_eq!(cluster.reports(1).last(), Some(&false), "{:?}", cluster.reports(1));
+    })
+    .await;
+}
