Publish the states of waves before the first list of machines

A wave to which machines are added while the owner changes stayed shown as completed (MIXED) for as long as the machines couldn't be read: a new owner published nothing before its first list. The record and the stored progress tell that machines are due.

waves::a_new_owner_publishes_a_changed_wave_before_it_has_read_the_machines failed before: shown as completed a second after the change.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -283,10 +283,14 @@
 
     /// Plans upkeep and moves.
     pub(in super::super) fn run_fleet(&mut self, now: u64) {
-        if now < self.fleet.last_plan + PLAN_INTERVAL_MS || self.fleet.list_asked.is_none() {
+        if now < self.fleet.last_plan + PLAN_INTERVAL_MS {
             return;
         }
         self.fleet.last_plan = now;
+        if self.fleet.list_asked.is_none() {
+            self.report_waves(now);
+            return;
+        }
         self.update_idle(now);
         self.update_demand(now);
         self.plan_upkeep(now);
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -164,21 +164,37 @@
 
     /// Selects the machines to maintain next and publishes the state of the waves.
     pub(super) fn plan_upkeep(&mut self, now: u64) {
-        let numbers: Vec<u64> = self.fleet.waves.keys().copied().collect();
-        for number in numbers {
-            let Some(wave) = self.fleet.waves.get(&number).cloned() else { continue };
-            let Some(stored) = self.table.waves.get(&number) else { continue };
-            let over = |name: &String| {
-                stored.begun.contains(name) || stored.excluded.contains(name) || self.fleet.is_gone(name)
-            };
-            let due: Vec<String> = wave.plan.machines.iter().filter(|name| !over(name)).cloned().collect();
-            self.report_wave(now, number, due.is_empty());
-            if !due.is_empty() {
+        for (number, due) in self.report_waves(now) {
+            if let Some(wave) = self.fleet.waves.get(&number).cloned().filter(|_| !due.is_empty()) {
                 self.select_machines(now, number, &wave, &due);
             }
         }
     }
 
+    /// Publishes the state of the waves. Returns the machines that are due in each.
+    pub(super) fn report_waves(&mut self, now: u64) -> Vec<(u64, Vec<String>)> {
+        let waves: Vec<(u64, Vec<String>)> = self
+            .fleet
+            .waves
+            .iter()
+            .map(|(number, wave)| (*number, self.due_machines(*number, wave)))
+            .collect();
+        for (number, due) in &waves {
+            self.report_wave(now, *number, due.is_empty());
+        }
+        waves
+    }
+
+    /// Machines of a wave whose upkeep hasn't begun.
+    fn due_machines(&self, number: u64, wave: &WaveState) -> Vec<String> {
+        let stored = self.table.waves.get(&number);
+        let over = |name: &String| {
+            stored.is_some_and(|wave| wave.begun.contains(name) || wave.excluded.contains(name))
+                || self.fleet.is_gone(name)
+        };
+        wave.names().filter(|name| !over(name)).cloned().collect()
+    }
+
     fn select_machines(&mut self, now: u64, number: u64, wave: &WaveState, due: &[String]) {
         let goal = Goal::Upkeep(number);
         let begun = self.table.waves.get(&number).map(|stored| &stored.begun);
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -377,3 +377,17 @@
     world.run_for(1_000);
     assert_eq!(world.held_reports, [(1, false)]);
 }
+
+/// Guards against a wave that stays shown as completed on its former record, while a new owner can't read the machines.
+#[test]
+fn a_new_owner_publishes_a_changed_wave_before_it_has_read_the_machines() {
+    let mut world = completed();
+    world.machines_unread = true;
+    world.take_over();
+    world.write_wave(1, &ALL[..2], 1, 5_000);
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machines_unread = false;
+    world.run_for(14_000);
+    assert_eq!((maintained(&world), world.published.get(&1)), (ALL[..2].to_vec(), Some(&true)));
+}
