Count an upkeep as begun only once a list of machines shows it

A wave was shown as completed on the answers to its orders, without a list that shows the upkeep (MIXED if a machine stays in service). The first list after the answer ended the order even if it showed the machine in service with the same worker, so a list from before let one more machine go to upkeep than allowed (LIMIT).

The upkeep has begun once a list that was requested after the answer shows it, or the machine without the worker that was listed when the order was sent. A machine that stays in service with this worker for a second gets the order again, once, as the API also accepts an upkeep that was carried out before.

Failed before: an_upkeep_that_was_accepted_and_does_not_begin_is_ordered_again, a_wave_is_shown_as_completed_only_once_a_list_has_shown_the_upkeep and a_list_from_before_an_accepted_upkeep_frees_no_place_in_the_wave.

The simulated machines of the nodes' tests show their upkeep in the list.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -84,6 +84,10 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
+    /// Worker that the list named when it was last sent; none if there was none.
+    listed: Option<String>,
+    /// True once it was accepted and is sent again, because the machine stayed in service.
+    repeated: bool,
     /// True if the wave that it was given for was removed since; a later wave may have the same number.
     pub(super) former: bool,
     /// Time at which it was last sent.
@@ -193,6 +197,8 @@
             stage,
             emptied: None,
             begun: false,
+            listed: None,
+            repeated: false,
             former: false,
             sent: now,
             delayed: false,
@@ -221,6 +227,7 @@
             self.fleet.lists.pop_front();
         }
         let mut old = std::mem::take(&mut self.fleet.rows);
+        let mut begun = Vec::new();
         for machine in machines {
             let before = old.remove(&machine.name);
             let same = before.as_ref().filter(|row| !row.unlisted && row.machine.worker == machine.worker);
@@ -228,7 +235,9 @@
             let known = before.or_else(|| self.fleet.rows.remove(&machine.name));
             let row = match known {
                 Some(mut row) => {
-                    row.finish_order(asked, &machine);
+                    begun.extend(
+                        row.finish_order(now, asked, &machine).map(|wave| (wave, machine.name.clone())),
+                    );
                     let given_up = row.given_up.filter(|at| *at >= asked);
                     MachineRow { machine, unlisted: false, unchanged_since, given_up, ..row }
                 }
@@ -256,6 +265,9 @@
                 self.fleet.rows.insert(name, MachineRow { unlisted: true, unchanged_since: u64::MAX, ..row });
             }
         }
+        for (wave, name) in begun {
+            self.mark_begun(wave, &name);
+        }
         self.fleet.note_missing(asked);
         self.mark_emptying();
         self.requeue_gone_workers(now, asked);
@@ -355,8 +367,8 @@
     ) {
         let name = sent.machine.as_str();
         let busy = self.may_have_runs(name, unnamed);
-        let order = self.fleet.rows.get_mut(name).and_then(|row| row.order.as_mut());
-        let Some(order) = order.filter(|order| order.number == sent.number) else { return };
+        let Some(row) = self.fleet.rows.get_mut(name) else { return };
+        let Some(order) = row.order.as_mut().filter(|order| order.number == sent.number) else { return };
         // One that was carried out is accepted again and ends nothing.
         if busy && !order.begun {
             log::info!(target: DECISIONS, machine = name, goal:? = order.goal; "the order waits, since the machine has runs again");
@@ -368,6 +380,7 @@
             "the order is sent to the machine"
         );
         order.sent = now;
+        order.listed.clone_from(&row.machine.worker);
         let command = match &order.goal {
             Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
             Goal::Pool(pool) => Command::Move(sent, pool.clone()),
@@ -416,7 +429,7 @@
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
                 row.absences = 0;
-                let wave = order.wave();
+                let wave = order.wave().filter(|_| order.begun);
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
                 let ended = |key: &WorkerKey| {
@@ -470,22 +483,55 @@
         idle && !self.unlisted && self.blocked_until <= now
     }
 
-    /// Removes an order that a newer list shows as carried out.
-    fn finish_order(&mut self, asked: u64, status: &Machine) {
-        let Some(order) = &mut self.order else { return };
-        let sent = matches!(order.stage, Stage::Ordered | Stage::Waiting(_));
-        let upkeep = matches!(order.goal, Goal::Upkeep(_));
-        order.begun |= sent && upkeep && status.state == MachineState::Upkeep;
-        let done = match (order.stage, &order.goal) {
-            (Stage::Taken(at), _) => at < asked,
-            (Stage::Emptying(_) | Stage::Ordered | Stage::Waiting(_), Goal::Pool(pool)) => {
-                status.pool == *pool
-            }
-            _ => false,
+    /// Removes an order that a newer list shows as carried out. Returns the wave for which the upkeep of the machine has begun.
+    fn finish_order(&mut self, now: u64, asked: u64, status: &Machine) -> Option<u64> {
+        let order = self.order.as_mut()?;
+        let accepted = match order.stage {
+            Stage::Emptying(_) => return self.finish_move(status),
+            Stage::Ordered | Stage::Waiting(_) => None,
+            Stage::Taken(at) if at < asked => Some(at),
+            Stage::Taken(_) => return None,
         };
-        if done && status.state == MachineState::Up {
+        if matches!(order.goal, Goal::Pool(_)) {
+            if accepted.is_none() {
+                return self.finish_move(status);
+            }
+        } else {
+            order.begun |= status.state == MachineState::Upkeep;
+            let at = accepted?;
+            // A machine whose upkeep was carried out for a former owner stays in service, and the order is accepted again.
+            let serves =
+                status.state == MachineState::Up && order.listed.is_some() && status.worker == order.listed;
+            if serves && !order.begun && !order.repeated {
+                // A list may be from some time before.
+                if asked >= at + LIST_DELAY_MS {
+                    log::warn!(
+                        target: DECISIONS, machine = status.name.as_str(), order = order.number;
+                        "the machine stays in service although its upkeep was accepted; the order is sent again"
+                    );
+                    order.repeated = true;
+                    order.stage = Stage::Waiting(now);
+                }
+                return None;
+            }
+            order.begun = true;
+        }
+        let wave = order.wave();
+        if status.state == MachineState::Up {
+            self.order = None;
+            self.idle = None;
+        }
+        wave
+    }
+
+    /// Removes a move that was not answered, if the list shows the machine in service in its pool.
+    fn finish_move(&mut self, status: &Machine) -> Option<u64> {
+        let goal = self.order.as_ref().map(|order| &order.goal);
+        let there = matches!(goal, Some(Goal::Pool(pool)) if *pool == status.pool);
+        if there && status.state == MachineState::Up {
             self.order = None;
             self.idle = None;
         }
+        None
     }
 }
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -101,6 +101,8 @@
     pub(super) upkeep_delays: VecDeque<Option<Duration>>,
     /// Orders for upkeep: number of the wave, and machine.
     pub(super) upkeeps: Vec<(u64, String)>,
+    /// Time of the last order for upkeep of each machine.
+    pub(super) maintained: BTreeMap<String, Instant>,
     /// Time of the last start of a task of each job.
     pub(super) started: BTreeMap<JobId, Instant>,
 }
