Forward records of the intake to other instances over tarpc

Cause: the port for forwarded records had no implementation; every call was answered as unreachable. Change: a service with its wire types (crates/wire/src/forward), client and server (crates/entry/src/forward), the third port of the range, and its address in the name of the process in its groups. The client opens one connection for each destination and closes it when a call was not answered. The server bounds connections, calls, messages that are being received, and records that the node holds; beyond these it refuses at once. Calls are counted by outcome.

--- /dev/null
+++ b/crates/entry/src/forward/transport.rs
@@ -0,0 +1,147 @@
+//! Transport of a connection on the receiver's side. It bounds the memory of messages that are being received.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures::{Sink, Stream, stream};
+use rattanfall_wire::forward::{ForwardingRequest, ForwardingResponse};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_serde::{Deserializer, Framed};
+use tarpc::tokio_util::bytes::BytesMut;
+use tarpc::tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
+use tarpc::{ClientMessage, Response};
+use tokio::io::{AsyncReadExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
+
+/// Size of the read buffer of a connection.
+const BUFFER_BYTES: usize = 4 << 10;
+/// Time within which the rest of a message must arrive.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+type Request = ClientMessage<ForwardingRequest>;
+type Answer = Response<ForwardingResponse>;
+type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Reading side of a connection.
+struct Reader {
+    stream: BufReader<OwnedReadHalf>,
+    stop: watch::Receiver<bool>,
+    /// Bytes of messages that all connections may receive at once.
+    budget: Arc<Semaphore>,
+    /// Maximum size of a message in bytes.
+    max_bytes: usize,
+    /// Time after which an idle connection is closed.
+    idle: Duration,
+}
+
+/// Requests read from a connection, and answers written to it.
+pub(super) struct Transport {
+    requests: Pin<Box<dyn Stream<Item = io::Result<Request>> + Send>>,
+    answers: Framed<Writer, Request, Answer, Bincode<Request, Answer>>,
+}
+
+/// Bounds of a connection.
+#[derive(Clone)]
+pub(super) struct Bounds {
+    /// True once no more messages are to be read.
+    pub(super) stop: watch::Receiver<bool>,
+    /// Bytes of messages that all connections may receive at once.
+    pub(super) budget: Arc<Semaphore>,
+    /// Maximum size of a message in bytes.
+    pub(super) max_bytes: usize,
+    /// Time after which an idle connection is closed.
+    pub(super) idle: Duration,
+}
+
+impl Transport {
+    /// Uses a connection. It ends when it is idle for too long, or when no more messages are to be read.
+    pub(super) fn new(stream: TcpStream, bounds: Bounds, address: SocketAddr) -> Self {
+        let (read, write) = stream.into_split();
+        let reader = Reader {
+            stream: BufReader::with_capacity(BUFFER_BYTES, read),
+            stop: bounds.stop,
+            budget: bounds.budget,
+            max_bytes: bounds.max_bytes,
+            idle: bounds.idle,
+        };
+        let requests = stream::try_unfold(reader, move |mut reader| async move {
+            let request = reader.next().await.inspect_err(|error| {
+                log::warn!(address:% = address, error:% = error; "the connection of another instance failed");
+            });
+            Ok(request?.map(|request| (request, reader)))
+        });
+        Self {
+            requests: Box::pin(requests),
+            answers: Framed::new(FramedWrite::new(write, LengthDelimitedCodec::new()), Bincode::default()),
+        }
+    }
+}
+
+impl Reader {
+    /// Reads a message. None at the end of the connection.
+    async fn next(&mut self) -> io::Result<Option<Request>> {
+        let head = tokio::select! {
+            _ = self.stop.wait_for(|stop| *stop) => return Ok(None),
+            head = timeout(self.idle, self.stream.read_u32()) => head,
+        };
+        let bytes = match head {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
+            Ok(Err(error)) => return Err(error),
+            Err(_) => return Ok(None),
+        };
+        if usize::try_from(bytes).is_ok_and(|bytes| bytes <= self.max_bytes) {
+            timeout(MESSAGE_TIMEOUT, self.message(bytes)).await?.map(Some)
+        } else {
+            Err(io::Error::new(io::ErrorKind::InvalidData, format!("a message of {bytes} bytes")))
+        }
+    }
+
+    async fn message(&mut self, bytes: u32) -> io::Result<Request> {
+        let _permit = self.budget.acquire_many(bytes).await.map_err(io::Error::other)?;
+        let mut message = BytesMut::with_capacity(bytes as usize);
+        let mut rest = (&mut self.stream).take(bytes.into());
+        while rest.limit() > 0 {
+            if rest.read_buf(&mut message).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let mut format = Bincode::<Request, Answer>::default();
+        Pin::new(&mut format).deserialize(&message)
+    }
+}
+
+impl Stream for Transport {
+    type Item = io::Result<Request>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.requests.as_mut().poll_next(cx)
+    }
+}
+
+impl Sink<Answer> for Transport {
+    type Error = io::Error;
+
+    fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.answers).poll_ready(cx)
+    }
+
+    fn start_send(mut self: Pin<&mut Self>, answer: Answer) -> io::Result<()> {
+        Pin::new(&mut self.answers).start_send(answer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.answers).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.answers).poll_close(cx)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod callers;
 pub mod config;
+pub mod forward;
 pub mod instance;
 pub mod logs;
 pub mod metrics;
@@ -12,6 +13,7 @@
 pub mod options;
 pub mod peers;
 pub mod platform;
+mod rpc;
 pub mod server;
 pub mod shell;
 pub mod upstreams;
--- a/crates/entry/src/peers/client.rs
+++ b/crates/entry/src/peers/client.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use rattanfall_core::engine::event::Digest;
@@ -10,12 +9,12 @@
 use rattanfall_core::ids::{MemberId, Offset};
 use rattanfall_wire::peer::{Hello, PEER_VERSION, PeerClient, PeerError, Tail};
 use tarpc::client::Config;
-use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::time::timeout;
 
 use super::{DIGEST_TIMEOUT, MAX_FRAME_BYTES, SNAPSHOT_TIMEOUT, TAIL_TIMEOUT};
 use crate::platform::EntryInstances;
+use crate::rpc::with_timeout;
 use crate::shell::Shell;
 
 /// Most concurrent calls of one client.
@@ -106,9 +105,3 @@
 pub(super) async fn gossip(client: &PeerClient, digest: Digest) -> Option<Result<Digest, PeerError>> {
     client.gossip(with_timeout(DIGEST_TIMEOUT), digest).await.ok()
 }
-
-fn with_timeout(limit: Duration) -> Context {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + limit;
-    context
-}
--- a/crates/entry/src/upstreams/mod.rs
+++ b/crates/entry/src/upstreams/mod.rs
@@ -4,7 +4,7 @@
 mod call;
 mod exchange;
 mod pool;
-mod socket;
+pub(crate) mod socket;
 mod task_calls;
 
 pub use body::{BodySender, SendBody, body_channel};
--- a/crates/entry/src/upstreams/pool.rs
+++ b/crates/entry/src/upstreams/pool.rs
@@ -3,20 +3,18 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread::ThreadId;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use rattanfall_core::engine::DELIVERY_TIMEOUT_MS;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use super::SendBody;
-use super::socket::{Socket, WeakSocket};
+use super::socket::{Socket, WeakSocket, limit_delivery_time};
 use crate::config::UpstreamConfig;
 
 /// Connections and request permits by address.
@@ -142,12 +140,3 @@
         self.endpoints.lock().values().map(|endpoint| endpoint.idle.len()).sum()
     }
 }
-
-/// Bounds the time until sent bytes arrive or are discarded: a killed process resets its connections, and the kernel
-/// closes a connection whose bytes are not acknowledged in time. Otherwise a request could reach its worker after the
-/// slot was reclaimed.
-fn limit_delivery_time(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(DELIVERY_TIMEOUT_MS)))
-}
--- a/crates/entry/src/upstreams/socket.rs
+++ b/crates/entry/src/upstreams/socket.rs
@@ -1,4 +1,4 @@
-//! Socket shared by a connection's task, which reads and writes, and the pool, which checks the socket before reuse.
+//! Socket shared by a connection's task, which reads and writes, and its user, which checks the socket before reuse.
 
 use std::io;
 use std::mem::MaybeUninit;
@@ -6,29 +6,31 @@
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use rattanfall_core::engine::DELIVERY_TIMEOUT_MS;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Owner of the socket; used by the connection's task.
 #[derive(Debug)]
-pub(super) struct Socket {
+pub(crate) struct Socket {
     stream: Arc<TcpStream>,
 }
 
 /// Reference to the socket that does not keep it open.
 #[derive(Debug)]
-pub(super) struct WeakSocket {
+pub(crate) struct WeakSocket {
     stream: Weak<TcpStream>,
 }
 
 impl Socket {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         Self { stream: Arc::new(stream) }
     }
 
-    pub(super) fn downgrade(&self) -> WeakSocket {
+    pub(crate) fn downgrade(&self) -> WeakSocket {
         WeakSocket { stream: Arc::downgrade(&self.stream) }
     }
 }
@@ -36,11 +38,20 @@
 impl WeakSocket {
     /// Returns whether there is nothing to read: neither an end of stream, which the connection's task may not have
     /// seen yet, nor bytes that belong to no request.
-    pub(super) fn is_reusable(&self) -> bool {
+    pub(crate) fn is_reusable(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else { return false };
         let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Returns whether the peer has not closed the connection. There may be bytes to read.
+    pub(crate) fn is_open(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(bytes) => bytes > 0,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
 }
 
 impl AsyncRead for Socket {
@@ -86,3 +97,12 @@
         Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
+
+/// Bounds the time until sent bytes arrive or are discarded: a killed process resets its connections, and the kernel
+/// closes a connection whose bytes are not acknowledged in time. Otherwise a request could reach its worker after the
+/// slot was reclaimed.
+pub(crate) fn limit_delivery_time(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(DELIVERY_TIMEOUT_MS)))
+}
--- a/crates/jobs/src/metrics/mod.rs
+++ b/crates/jobs/src/metrics/mod.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::dispatch::Counters;
+use crate::ports::Forwarded;
 
 /// Bucket bounds of the latency histograms in milliseconds, from one round trip to the maximum wait of a caller.
 const BOUNDS_MS: [f64; 11] = [2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 10_000.0];
@@ -37,6 +38,7 @@
     ownership: Counter<u64>,
     failures: Counter<u64>,
     bytes: Counter<u64>,
+    forwards: Counter<u64>,
     panics: Counter<u64>,
     answered: Histogram<f64>,
     stored: Histogram<f64>,
@@ -66,6 +68,7 @@
             failures: counter(&meter, "store_failures", "Failed calls to the store, by topic and cause"),
             panics: counter(&meter, "task_failures", "Tasks of the instance that failed, by task"),
             bytes: counter(&meter, "store_bytes", "Bytes read from the store, by topic"),
+            forwards: counter(&meter, "forwards", "Calls that forward records, by direction and outcome"),
             answered: histogram(&meter, "answer_milliseconds", "Time from a call to its answer"),
             stored: histogram(&meter, "store_milliseconds", "Time of an append that was answered"),
             late: histogram(&meter, "job_late_milliseconds", "Time of a job's end after its objective"),
@@ -99,6 +102,21 @@
         self.failures.add(1, &[KeyValue::new("topic", topic), KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a call that forwards records to another instance.
+    pub fn forward_sent(&self, outcome: Forwarded) {
+        self.forwarded("sent", outcome);
+    }
+
+    /// Counts a call in which another instance forwards records.
+    pub fn forward_received(&self, outcome: Forwarded) {
+        self.forwarded("received", outcome);
+    }
+
+    fn forwarded(&self, direction: &'static str, outcome: Forwarded) {
+        let outcome = KeyValue::new("outcome", outcome.name());
+        self.forwards.add(1, &[KeyValue::new("direction", direction), outcome]);
+    }
+
     /// Counts a task of the instance that failed.
     pub fn task_failed(&self, task: &'static str) {
         self.panics.add(1, &[KeyValue::new("task", task)]);
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -3,6 +3,8 @@
 //! An adapter implements these ports for a specific platform. The store must be linearizable and retain the newest
 //! record of each key; workers must refuse a fencing token that is lower than one they have seen.
 
+mod wire;
+
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::time::Duration;
@@ -14,6 +16,8 @@
 use crate::dispatch::event::{Machine, Outcome, Wave, WorkerRecord, WorkerStatus};
 use crate::record::Entry;
 
+pub use wire::BadKey;
+
 /// Topic of the store. Each topic retains the newest record of each key.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
@@ -196,6 +200,19 @@
     Unknown,
 }
 
+impl Forwarded {
+    /// Name of the outcome in the metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Stored => "stored",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Other entry instances.
 pub trait Peers {
     /// Forwards records of the intake to a process, which stores them together with its own within `wait`. `member` is the
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! confined to its module. `docs/interfaces.md` describes the interfaces.
 
 pub mod caller;
+pub mod forward;
 pub mod operator;
 pub mod peer;
 pub mod platform;
