Publish the states of several waves one after the other

In a trial with two waves, the store got the two calls of a new owner in the other order in two of seven takeovers and refused one, which was repeated 0.5 s later.

waves::the_states_of_two_waves_are_published_one_after_the_other failed before: two calls at once.

--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -276,8 +276,8 @@
         if wave.reported == Some(complete) || now < wave.last_report + REPORT_RETRY_MS {
             return;
         }
-        // Two calls that are under way may be carried out in any order.
-        if self.fleet.publishing.get(&number).is_some_and(|since| now < since + REPORT_TIMEOUT_MS) {
+        // Two calls that are under way may be carried out in any order, and the store refuses the older one then.
+        if self.fleet.publishing.values().any(|since| now < since + REPORT_TIMEOUT_MS) {
             return;
         }
         // A wave is published as complete only once the set of its maintained machines is stored.
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -466,3 +466,20 @@
     }
     assert_eq!((world.machine_orders, world.published.get(&1)), (2, Some(&true)));
 }
+
+/// Guards against a state of a wave that the store refuses because that of another wave, published at the same time, was faster.
+#[test]
+fn the_states_of_two_waves_are_published_one_after_the_other() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.holds_reports = true;
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    world.write_wave(2, &ALL[1..2], 1, 5_000);
+    world.run_for(300);
+    assert_eq!(world.held_reports, [(1, false)]);
+    world.holds_reports = false;
+    world.deliver_reports();
+    world.run_for(300);
+    assert_eq!(world.published, [(1, false), (2, false)].into());
+}
