Don't order an upkeep again that was carried out without an answer

The worker that the list named before the first call that may have been carried out counts now.

waves::an_unanswered_upkeep_that_was_carried_out_is_not_ordered_again_once_it_is_accepted failed before: 10 orders instead of 9.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -84,8 +84,10 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
-    /// Worker that the list named when it was last sent; none if there was none.
+    /// Worker that the list named when it was sent, before it may have been carried out; none if there was none.
     listed: Option<String>,
+    /// True once it got no answer, so that it may have been carried out.
+    unanswered: bool,
     /// True once it was accepted and is sent again, because the machine stayed in service.
     repeated: bool,
     /// True if the wave that it was given for was removed since; a later wave may have the same number.
@@ -198,6 +200,7 @@
             emptied: None,
             begun: false,
             listed: None,
+            unanswered: false,
             repeated: false,
             former: false,
             sent: now,
@@ -380,7 +383,9 @@
             "the order is sent to the machine"
         );
         order.sent = now;
-        order.listed.clone_from(&row.machine.worker);
+        if !order.unanswered {
+            order.listed.clone_from(&row.machine.worker);
+        }
         let command = match &order.goal {
             Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
             Goal::Pool(pool) => Command::Move(sent, pool.clone()),
@@ -447,6 +452,7 @@
                 }
             }
             MachineOutcome::Unknown | MachineOutcome::NotNow => {
+                order.unanswered |= outcome == MachineOutcome::Unknown;
                 order.stage = Stage::Waiting(now + REPEAT_MS);
             }
             MachineOutcome::Busy => {
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -483,3 +483,24 @@
     world.run_for(300);
     assert_eq!(world.published, [(1, false), (2, false)].into());
 }
+
+/// Guards against a machine that is emptied once more, since its upkeep was carried out without an answer and between two lists.
+#[test]
+fn an_unanswered_upkeep_that_was_carried_out_is_not_ordered_again_once_it_is_accepted() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.machines_unread = true;
+    world.run_for(2_000);
+    world.machines_unread = false;
+    world.run_for(1_000);
+    world.machine_fault = None;
+    world.run_for(600);
+    let orders = world.machine_orders;
+    world.run_for(5_000);
+    assert_eq!((world.machine_orders, world.published.get(&1)), (orders, Some(&true)));
+}
