Keep a machine due in its wave while its worker answers

A wave was shown as completed without a machine that five lists over 10 s lacked (MIXED, if it stays), even if its worker answered polls all the while. The worker that the last list before named for it now counts against its absence.

waves::a_machine_whose_worker_answers_stays_due_while_lists_lack_it failed before: shown as completed.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -136,8 +136,10 @@
 }
 
 /// Lists in a row that lack a machine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Absence {
+    /// Worker that the last list before them named.
+    worker: Option<String>,
     /// Time at which the first of them was requested.
     since: u64,
     /// Number of them.
@@ -176,18 +178,14 @@
         let listed = |name: &str| self.rows.get(name).is_some_and(|row| !row.unlisted);
         let planned = self.waves.values().flat_map(WaveState::names);
         let missing = planned.filter(|name| !listed(name)).map(|name| {
-            let known = self.missing.get(name).copied().unwrap_or(Absence { since: asked, lists: 0 });
+            let worker = || self.rows.get(name).and_then(|row| row.machine.worker.clone());
+            let known = self.missing.get(name).cloned();
+            let known = known.unwrap_or_else(|| Absence { worker: worker(), since: asked, lists: 0 });
             (name.clone(), Absence { lists: known.lists + 1, ..known })
         });
         self.missing = missing.collect();
     }
 
-    /// True if several lists in a row, over some time, lacked a machine of a wave.
-    pub(super) fn is_gone(&self, name: &str) -> bool {
-        let Some(absence) = self.missing.get(name) else { return false };
-        absence.lists >= GONE_LISTS && self.list_asked.is_some_and(|asked| asked >= absence.since + GONE_MS)
-    }
-
     /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
     pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
         let row = self.rows.get_mut(name)?;
@@ -314,6 +312,15 @@
         self.mark_emptying();
     }
 
+    /// True if several lists in a row, over some time, lacked a machine of a wave, and its worker doesn't answer.
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        let Some(absence) = self.fleet.missing.get(name) else { return false };
+        let worker = absence.worker.as_deref().and_then(|id| self.worker_key(id));
+        let responds = worker.and_then(|key| self.workers.get(key)).is_some_and(Worker::responds);
+        let asked = self.fleet.list_asked.unwrap_or(0);
+        !responds && absence.lists >= GONE_LISTS && asked >= absence.since + GONE_MS
+    }
+
     /// Key of the worker that runs on a machine.
     pub(super) fn machine_worker(&self, row: &MachineRow) -> Option<WorkerKey> {
         self.worker_key(row.machine.worker.as_deref()?)
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -190,7 +190,7 @@
         let stored = self.table.waves.get(&number);
         let over = |name: &String| {
             stored.is_some_and(|wave| wave.begun.contains(name) || wave.excluded.contains(name))
-                || self.fleet.is_gone(name)
+                || self.is_gone(name)
         };
         wave.names().filter(|name| !over(name)).cloned().collect()
     }
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -504,3 +504,25 @@
     world.run_for(5_000);
     assert_eq!((world.machine_orders, world.published.get(&1)), (orders, Some(&true)));
 }
+
+/// Guards against a wave that is shown as completed because lists lack a machine that stays, while its worker answers.
+#[test]
+fn a_machine_whose_worker_answers_stays_due_while_lists_lack_it() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.write_wave(1, &ALL[..1], 1, 30_000);
+    world.run_for(500);
+    world.machines_unread = true;
+    for _ in 0..15 {
+        world.run_for(1_000);
+        let list = world.list_machines().into_iter().filter(|machine| machine.name != ALL[0]).collect();
+        world.dispatcher.set_machines(world.now, world.now, list);
+    }
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&false));
+    world.machines_unread = false;
+    world.machine_fault = None;
+    world.run_for(10_000);
+    assert_eq!((maintained(&world), world.published.get(&1)), (vec![ALL[0]], Some(&true)));
+}
