Ask again before a machine is left out of its wave

The API of the machines may not know a new record yet. The machine is now asked again after 3.2 and 6.4 s, and left out after the third such answer in a row.

waves::a_machine_that_is_refused_at_first_gets_its_upkeep failed before: shown as completed.

Changed test: a_machine_that_is_not_of_the_wave_is_left_out_until_the_wave_changes expects three orders, at the times above, instead of one. That there is no further order, also by a new owner, is checked as before.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -41,6 +41,8 @@
 const BUSY_BACKOFF_MS: u64 = 800;
 /// Time for which a machine gets no order after one was refused, in milliseconds.
 const REFUSED_BACKOFF_MS: u64 = 3_200;
+/// Answers in a row after which a machine counts as not part of a wave. The platform may not know a new record yet.
+const REFUSALS: u32 = 3;
 /// Number of times that this time is doubled at most, while orders for upkeep find no such machine.
 const MAX_DOUBLINGS: u32 = 4;
 /// Time after which a machine that no list names is gone, in milliseconds.
@@ -130,6 +132,8 @@
     unchanged_since: u64,
     /// Number of orders for upkeep in a row that found no such machine.
     absences: u32,
+    /// Wave that it was last said not to be part of, with the number of such answers in a row.
+    pub(super) refusals: Option<(u64, u32)>,
     /// Time at which an order was given up since the machine was busy, until a later list is read. An earlier sending of the
     /// order may have been carried out.
     pub(super) given_up: Option<u64>,
@@ -254,6 +258,7 @@
                         unlisted: false,
                         unchanged_since,
                         absences: 0,
+                        refusals: None,
                         given_up: None,
                     }
                 }
@@ -441,6 +446,7 @@
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
                 row.absences = 0;
+                row.refusals = None;
                 let wave = order.wave().filter(|_| order.begun);
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
@@ -468,13 +474,22 @@
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
-                if let Some(wave) = order.wave() {
-                    log::warn!(target: DECISIONS, machine = name, wave = wave; "the machine is not part of the wave");
-                    self.skip_upkeep(wave, name);
-                }
-                if let Some(row) = self.fleet.rows.get_mut(name) {
-                    row.order = None;
-                    row.blocked_until = now + REFUSED_BACKOFF_MS;
+                let wave = order.wave();
+                row.order = None;
+                row.blocked_until = now + REFUSED_BACKOFF_MS;
+                if let Some(wave) = wave {
+                    let before =
+                        row.refusals.filter(|(number, _)| *number == wave).map_or(0, |(_, count)| count);
+                    row.blocked_until = now + (REFUSED_BACKOFF_MS << before);
+                    row.refusals = Some((wave, before + 1));
+                    log::warn!(
+                        target: DECISIONS, machine = name, wave = wave, refusals = before + 1;
+                        "the machine is not part of the wave"
+                    );
+                    if before + 1 >= REFUSALS {
+                        row.refusals = None;
+                        self.skip_upkeep(wave, name);
+                    }
                 }
             }
             MachineOutcome::Absent => {
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -107,6 +107,9 @@
             stored.excluded.clear();
         }
         let plan = record.plan.clone();
+        for row in self.fleet.rows.values_mut() {
+            row.refusals = row.refusals.filter(|(refused, _)| *refused != number);
+        }
         let age = unix.saturating_sub(stored.seen_ms).min(plan.within_ms);
         log::info!(
             target: DECISIONS, wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age,
