Count a list from before the answer to a repeated upkeep

waves::a_list_from_before_the_answer_to_a_repeat_shows_the_upkeep failed before: shown as running a second after the answer.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -445,6 +445,9 @@
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
+                // A list has shown the next worker since an earlier call, which got no answer.
+                order.begun |=
+                    order.unanswered && order.listed.is_some() && order.listed != row.machine.worker;
                 row.absences = 0;
                 row.refusals = None;
                 let wave = order.wave().filter(|_| order.begun);
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -542,3 +542,24 @@
     world.run_for(8_000);
     assert_eq!((maintained(&world), world.published.get(&1)), (vec![ALL[0]], Some(&true)));
 }
+
+/// Guards against a wave that is shown as running until the next list, although lists have shown the next worker of its last machine
+/// before the answer to the repeated order.
+#[test]
+fn a_list_from_before_the_answer_to_a_repeat_shows_the_upkeep() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::DropsAnswers);
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    while world.upkeeps.is_empty() {
+        world.round();
+    }
+    world.machines_unread = true;
+    world.run_for(2_000);
+    world.machines_unread = false;
+    world.run_for(1_000);
+    world.machines_unread = true;
+    world.machine_fault = None;
+    world.run_for(1_000);
+    assert_eq!(world.published.get(&1), Some(&true));
+}
