--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -41,6 +41,8 @@
 const BUSY_BACKOFF_MS: u64 = 800;
 /// Time for which a machine gets no order after one was refused, in milliseconds.
 const REFUSED_BACKOFF_MS: u64 = 3_200;
+/// Answers in a row after which a machine counts as not part of a wave. The platform may not know a new record yet.
+const REFUSALS: u32 = 3;
 /// Number of times that this time is doubled at most, while orders for upkeep find no such machine.
 const MAX_DOUBLINGS: u32 = 4;
 /// Time after which a machine that no list names is gone, in milliseconds.
@@ -84,8 +86,10 @@
     pub(super) emptied: Option<Placement>,
     /// True once the list has shown the upkeep that it asks for.
     pub(super) begun: bool,
-    /// Worker that the list named when it was last sent; none if there was none.
+    /// Worker that the list named when it was sent, before it may have been carried out; none if there was none.
     listed: Option<String>,
+    /// True once it got no answer, so that it may have been carried out.
+    unanswered: bool,
     /// True once it was accepted and is sent again, because the machine stayed in service.
     repeated: bool,
     /// True if the wave that it was given for was removed since; a later wave may have the same number.
@@ -128,14 +132,18 @@
     unchanged_since: u64,
     /// Number of orders for upkeep in a row that found no such machine.
     absences: u32,
+    /// Wave that it was last said not to be part of, with the number of such answers in a row.
+    pub(super) refusals: Option<(u64, u32)>,
     /// Time at which an order was given up since the machine was busy, until a later list is read. An earlier sending of the
     /// order may have been carried out.
     pub(super) given_up: Option<u64>,
 }
 
 /// Lists in a row that lack a machine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Absence {
+    /// Worker that the last list before them named.
+    worker: Option<String>,
     /// Time at which the first of them was requested.
     since: u64,
     /// Number of them.
@@ -174,18 +182,14 @@
         let listed = |name: &str| self.rows.get(name).is_some_and(|row| !row.unlisted);
         let planned = self.waves.values().flat_map(WaveState::names);
         let missing = planned.filter(|name| !listed(name)).map(|name| {
-            let known = self.missing.get(name).copied().unwrap_or(Absence { since: asked, lists: 0 });
+            let worker = || self.rows.get(name).and_then(|row| row.machine.worker.clone());
+            let known = self.missing.get(name).cloned();
+            let known = known.unwrap_or_else(|| Absence { worker: worker(), since: asked, lists: 0 });
             (name.clone(), Absence { lists: known.lists + 1, ..known })
         });
         self.missing = missing.collect();
     }
 
-    /// True if several lists in a row, over some time, lacked a machine of a wave.
-    pub(super) fn is_gone(&self, name: &str) -> bool {
-        let Some(absence) = self.missing.get(name) else { return false };
-        absence.lists >= GONE_LISTS && self.list_asked.is_some_and(|asked| asked >= absence.since + GONE_MS)
-    }
-
     /// Gives a machine an order, and has it emptied from now on. Returns the machine; none if it is unknown.
     pub(super) fn give_order(&mut self, now: u64, name: &str, goal: Goal) -> Option<&Machine> {
         let row = self.rows.get_mut(name)?;
@@ -198,6 +202,7 @@
             emptied: None,
             begun: false,
             listed: None,
+            unanswered: false,
             repeated: false,
             former: false,
             sent: now,
@@ -253,6 +258,7 @@
                         unlisted: false,
                         unchanged_since,
                         absences: 0,
+                        refusals: None,
                         given_up: None,
                     }
                 }
@@ -311,6 +317,15 @@
         self.mark_emptying();
     }
 
+    /// True if several lists in a row, over some time, lacked a machine of a wave, and its worker doesn't answer.
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        let Some(absence) = self.fleet.missing.get(name) else { return false };
+        let worker = absence.worker.as_deref().and_then(|id| self.worker_key(id));
+        let responds = worker.and_then(|key| self.workers.get(key)).is_some_and(Worker::responds);
+        let asked = self.fleet.list_asked.unwrap_or(0);
+        !responds && absence.lists >= GONE_LISTS && asked >= absence.since + GONE_MS
+    }
+
     /// Key of the worker that runs on a machine.
     pub(super) fn machine_worker(&self, row: &MachineRow) -> Option<WorkerKey> {
         self.worker_key(row.machine.worker.as_deref()?)
@@ -380,7 +395,9 @@
             "the order is sent to the machine"
         );
         order.sent = now;
-        order.listed.clone_from(&row.machine.worker);
+        if !order.unanswered {
+            order.listed.clone_from(&row.machine.worker);
+        }
         let command = match &order.goal {
             Goal::Upkeep(wave) => Command::Maintain(sent, *wave),
             Goal::Pool(pool) => Command::Move(sent, pool.clone()),
@@ -428,7 +445,11 @@
         match outcome {
             MachineOutcome::Taken => {
                 order.stage = Stage::Taken(now);
+                // A list has shown the next worker since an earlier call, which got no answer.
+                order.begun |=
+                    order.unanswered && order.listed.is_some() && order.listed != row.machine.worker;
                 row.absences = 0;
+                row.refusals = None;
                 let wave = order.wave().filter(|_| order.begun);
                 let (emptied, sent) = (order.emptied.clone(), order.sent);
                 // An order that got no answer may have been carried out before the present worker existed.
@@ -447,6 +468,7 @@
                 }
             }
             MachineOutcome::Unknown | MachineOutcome::NotNow => {
+                order.unanswered |= outcome == MachineOutcome::Unknown;
                 order.stage = Stage::Waiting(now + REPEAT_MS);
             }
             MachineOutcome::Busy => {
@@ -455,13 +477,22 @@
                 row.blocked_until = now + BUSY_BACKOFF_MS;
             }
             MachineOutcome::Refused => {
-                if let Some(wave) = order.wave() {
-                    log::warn!(target: DECISIONS, machine = name, wave = wave; "the machine is not part of the wave");
-                    self.skip_upkeep(wave, name);
-                }
-                if let Some(row) = self.fleet.rows.get_mut(name) {
-                    row.order = None;
-                    row.blocked_until = now + REFUSED_BACKOFF_MS;
+                let wave = order.wave();
+                row.order = None;
+                row.blocked_until = now + REFUSED_BACKOFF_MS;
+                if let Some(wave) = wave {
+                    let before =
+                        row.refusals.filter(|(number, _)| *number == wave).map_or(0, |(_, count)| count);
+                    row.blocked_until = now + (REFUSED_BACKOFF_MS << before);
+                    row.refusals = Some((wave, before + 1));
+                    log::warn!(
+                        target: DECISIONS, machine = name, wave = wave, refusals = before + 1;
+                        "the machine is not part of the wave"
+                    );
+                    if before + 1 >= REFUSALS {
+                        row.refusals = None;
+                        self.skip_upkeep(wave, name);
+                    }
                 }
             }
             MachineOutcome::Absent => {
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -107,6 +107,9 @@
             stored.excluded.clear();
         }
         let plan = record.plan.clone();
+        for row in self.fleet.rows.values_mut() {
+            row.refusals = row.refusals.filter(|(refused, _)| *refused != number);
+        }
         let age = unix.saturating_sub(stored.seen_ms).min(plan.within_ms);
         log::info!(
             target: DECISIONS, wave = number, machines = plan.machines.len(), most = plan.most, age_ms = age,
@@ -190,7 +193,7 @@
         let stored = self.table.waves.get(&number);
         let over = |name: &String| {
             stored.is_some_and(|wave| wave.begun.contains(name) || wave.excluded.contains(name))
-                || self.fleet.is_gone(name)
+                || self.is_gone(name)
         };
         wave.names().filter(|name| !over(name)).cloned().collect()
     }
@@ -276,8 +279,8 @@
         if wave.reported == Some(complete) || now < wave.last_report + REPORT_RETRY_MS {
             return;
         }
-        // Two calls that are under way may be carried out in any order.
-        if self.fleet.publishing.get(&number).is_some_and(|since| now < since + REPORT_TIMEOUT_MS) {
+        // Two calls that are under way may be carried out in any order, and the store refuses the older one then.
+        if self.fleet.publishing.values().any(|since| now < since + REPORT_TIMEOUT_MS) {
             return;
         }
         // A wave is published as complete only once the set of its maintained machines is stored.
