Drop the connection of a forwarded call that the caller gives up

Cause: only a call that reached its own time limit dropped its connection, so a caller with a shorter one left a silent connection to the next call. Connections that another instance resets were logged as warnings, without their cause. Change: a call that ends unanswered drops its connection however it ends; resets are information; errors name causes.

--- a/crates/entry/src/forward/client.rs
+++ b/crates/entry/src/forward/client.rs
@@ -1,6 +1,7 @@
 //! Client: forwards records to other instances over one connection for each.
 
 use std::collections::{BTreeSet, HashMap};
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,10 +13,9 @@
 use rattanfall_jobs::record::Entry;
 use rattanfall_wire::forward::{FORWARD_VERSION, ForwardError, ForwardingClient, Hello, Record, Welcome};
 use socket2::{SockRef, TcpKeepalive};
-use tarpc::client::{Config, NewClient};
+use tarpc::client::{Config, NewClient, RpcError};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -35,23 +35,29 @@
 /// Idle time after which a connection is probed, and time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Reason why no call can be sent to an instance.
-#[derive(Debug, Error)]
-enum ConnectError {
+/// Reason why a call cannot be sent to an instance, or was not answered.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
     /// The connection could not be established.
     #[error(transparent)]
     Io(#[from] io::Error),
     /// The instance did not answer in time.
     #[error("the time limit was exceeded")]
     Late(#[from] tokio::time::error::Elapsed),
-    /// The hello failed.
-    #[error(transparent)]
-    Hello(#[from] tarpc::client::RpcError),
+    /// The connection failed.
+    #[error("{}", causes(.0))]
+    Connection(#[from] RpcError),
     /// The instance has another protocol version.
     #[error("the instance has protocol version {0}")]
     Version(u32),
 }
 
+/// Message of an error and of its causes.
+fn causes(error: &(dyn Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(error), |error| (*error).source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
 /// Client for all instances.
 #[derive(Debug)]
 pub struct ForwardClient {
@@ -123,6 +129,35 @@
     }
 }
 
+/// Call under way. Unless it is answered, its connection takes no further calls, because it may have gone silent.
+struct Call<'a> {
+    route: &'a Route,
+    link: Arc<Link>,
+    answered: bool,
+}
+
+impl Call<'_> {
+    async fn send(mut self, entries: &[Entry], wait: Duration) -> Result<Forwarded, CallError> {
+        let records = entries.iter().map(Record::from).collect();
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let limit = wait.saturating_add(ANSWER_MARGIN);
+        let call = self.link.client.forward(with_timeout(limit), records, wait_ms);
+        let outcome = timeout(limit, call).await??;
+        let outcome = outcome.map_err(|ForwardError::Version { ours }| CallError::Version(ours))?;
+        *self.link.used.lock() = Instant::now();
+        self.answered = true;
+        Ok(outcome.into())
+    }
+}
+
+impl Drop for Call<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.route.discard(&self.link);
+        }
+    }
+}
+
 impl ForwardClient {
     /// Creates a client without open connections. `name` is that of this process; the records of a call may have up to
     /// `max_bytes`.
@@ -146,20 +181,11 @@
             log::warn!(address:% = address, bytes = bytes, limit = link.max_bytes; "records are too large to be forwarded");
             return Forwarded::Unreachable;
         }
-        let records = entries.iter().map(Record::from).collect();
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let limit = wait.saturating_add(ANSWER_MARGIN);
-        let answered = timeout(limit, link.client.forward(with_timeout(limit), records, wait_ms)).await;
-        *link.used.lock() = Instant::now();
-        let error = match answered {
-            Ok(Ok(Ok(outcome))) => return outcome.into(),
-            Ok(Ok(Err(ForwardError::Version { ours }))) => ConnectError::Version(ours),
-            Ok(Err(error)) => error.into(),
-            Err(late) => late.into(),
-        };
-        log::warn!(address:% = address, records = entries.len(), error:% = error; "forwarded records were not answered");
-        route.discard(&link);
-        Forwarded::Unknown
+        let call = Call { route: &route, link, answered: false };
+        call.send(entries, wait).await.unwrap_or_else(|error| {
+            log::warn!(address:% = address, records = entries.len(), error:% = error; "forwarded records were not answered");
+            Forwarded::Unknown
+        })
     }
 
     fn route(&self, address: SocketAddr) -> Arc<Route> {
@@ -198,14 +224,14 @@
         }
     }
 
-    fn log_failure(&self, address: SocketAddr, error: &ConnectError) {
-        if !matches!(error, ConnectError::Version(_)) || self.reported.lock().insert(address) {
+    fn log_failure(&self, address: SocketAddr, error: &CallError) {
+        if !matches!(error, CallError::Version(_)) || self.reported.lock().insert(address) {
             log::warn!(address:% = address, error:% = error; "records cannot be forwarded to the instance");
         }
     }
 
     /// Connects and exchanges hellos.
-    async fn connect(&self, address: SocketAddr) -> Result<Link, ConnectError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Link, CallError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         limit_delivery_time(&stream)?;
@@ -222,7 +248,7 @@
         let NewClient { client, dispatch } = ForwardingClient::new(config, transport);
         let task = tokio::spawn(async move {
             if let Err(error) = dispatch.await {
-                log::info!(address:% = address, error:% = error; "the connection to another instance failed");
+                log::info!(address:% = address, error:% = causes(&error); "the connection to another instance failed");
             }
         });
         let mut link = Link {
@@ -241,7 +267,7 @@
                 Ok(link)
             }
             Ok(Welcome { version, .. }) | Err(ForwardError::Version { ours: version }) => {
-                Err(ConnectError::Version(version))
+                Err(CallError::Version(version))
             }
         }
     }
--- a/crates/entry/src/forward/transport.rs
+++ b/crates/entry/src/forward/transport.rs
@@ -73,7 +73,9 @@
         };
         let requests = stream::try_unfold(reader, move |mut reader| async move {
             let request = reader.next().await.inspect_err(|error| {
-                log::warn!(address:% = address, error:% = error; "the connection of another instance failed");
+                let invalid = error.kind() == io::ErrorKind::InvalidData;
+                let level = if invalid { log::Level::Warn } else { log::Level::Info };
+                log::log!(level, address:% = address, error:% = error; "the connection of another instance failed");
             });
             Ok(request?.map(|request| (request, reader)))
         });
--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -7,20 +7,22 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
 use futures::future::join_all;
+use futures::{SinkExt, StreamExt};
 use rattanfall_entry::forward::{ForwardClient, ForwardServer, Limits};
 use rattanfall_jobs::node::calls::{Handle, Message};
 use rattanfall_jobs::ports::Forwarded;
 use rattanfall_jobs::record::Entry;
 use rattanfall_wire::forward::{
-    Bytes, FORWARD_VERSION, ForwardError, Forwarding, ForwardingClient, Hello, Outcome, Record, Welcome,
+    Bytes, FORWARD_VERSION, ForwardError, Forwarding, ForwardingClient, ForwardingRequest,
+    ForwardingResponse, Hello, Outcome, Record, Welcome,
 };
 use rstest::rstest;
 use support::{TIMEOUT, until};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{ClientMessage, Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -232,6 +234,17 @@
     assert_eq!(accepted.load(Ordering::SeqCst), 2);
 }
 
+/// A caller may give up before the time limit of the call.
+#[tokio::test]
+async fn the_connection_of_a_call_that_was_given_up_is_not_used_again() {
+    let (address, accepted) = fake(FORWARD_VERSION, u64::MAX).await;
+    let (client, sent) = (client(), entries(10));
+    assert!(timeout(WAIT, client.forward(address, &sent, TIMEOUT)).await.is_err());
+    assert_eq!(client.connections(), 0);
+    assert_eq!(client.forward(address, &sent, WAIT).await, Forwarded::Stored);
+    assert_eq!(accepted.load(Ordering::SeqCst), 2);
+}
+
 /// A receiver that is killed before its answer may have stored the records.
 #[tokio::test]
 async fn a_connection_that_ends_before_the_answer_is_unknown() {
@@ -291,6 +304,27 @@
     assert_eq!(client.connections(), 1);
 }
 
+/// A valid message may contain a deadline that no timer supports.
+#[rstest]
+#[case::long(Duration::from_secs(100 * 365 * 86_400))]
+#[case::none(Duration::ZERO)]
+#[tokio::test]
+async fn a_call_with_an_unusual_deadline_does_not_affect_others(#[case] limit: Duration) {
+    let Receiver { address, calls, server: _server, .. } = receiver(Limits::new(CALL_BYTES)).await;
+    answer_all(calls, Forwarded::Stored);
+    let connect = tarpc::serde_transport::tcp::connect(
+        address,
+        Bincode::<Response<ForwardingResponse>, ClientMessage<ForwardingRequest>>::default,
+    );
+    let mut foreign = connect.await.expect("a connection");
+    let mut context = context();
+    context.deadline = Instant::now() + limit;
+    let message = ForwardingRequest::Hello { hello: hello(FORWARD_VERSION) };
+    let request = ClientMessage::Request(Request { context, id: 1, message });
+    foreign.send(request).await.expect("the message is sent");
+    assert_eq!(client().forward(address, &entries(10), WAIT).await, Forwarded::Stored);
+}
+
 #[rstest]
 #[case::long_key("k".repeat(256), 10)]
 #[case::no_key(String::new(), 10)]
--- a/crates/jobs/src/node/options/mod.rs
+++ b/crates/jobs/src/node/options/mod.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Name of the process: instance, CPU in thousandths of a core and start in ms since 1970, both in hexadecimal, joined
-    /// by `-`.
+    /// by `-`. The instance may contain its address for other instances.
     pub name: String,
     /// Interval between two joins of a group.
     pub join_interval: Duration,
