--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -36,7 +36,7 @@
 /// Interval between two checks of readiness.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Repeats of the owner's writes, of which one is under way at a time.
-const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 3 };
+const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 5 };
 
 /// Node of the fleet of entry instances.
 pub struct Node<P: Platform> {
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -99,6 +99,31 @@
     .await;
 }
 
+/// Guards against work that stands still while most answers to the owner are lost.
+#[tokio::test(start_paused = true)]
+async fn work_goes_on_while_most_answers_to_the_owner_are_lost() {
+    Cluster::run(1, |cluster| async move {
+        cluster.set_fault(Fault::LoseMostAnswers);
+        let begun = Instant::now();
+        for id in 1..=10 {
+            assert!(matches!(cluster.call(0, submit(id, 2)).await, Answer::Accepted(_)));
+            cluster.run_for(200).await;
+        }
+        while (1..=10).any(|id| cluster.last_start(id).is_none()) {
+            cluster.run_for(10).await;
+        }
+        let took = begun.elapsed();
+        assert!(took < Duration::from_millis(2_500), "{took:?}");
+        cluster.run_for(3_000).await;
+        for id in 1..=10 {
+            assert_eq!(cluster.call(0, read(id)).await, Answer::State(JobState::Completed));
+        }
+        assert_eq!(cluster.duplicate_starts(), 0);
+        assert_eq!(cluster.claim_count(), 1);
+    })
+    .await;
+}
+
 /// Guards against work that stands still for the time limit of a call with each answer to the owner that is lost.
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_to_the_owner_delays_no_job_by_the_time_limit_of_a_call() {
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -10,13 +10,17 @@
 use rattanfall_jobs::record::Entry;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::link::Link;
 use super::workers::Worker;
 
 /// Processing time of the store.
 const STORE_TIME: Duration = Duration::from_millis(4);
+/// Time that a slow store takes for an append.
+const SLOW_APPEND: Duration = Duration::from_millis(120);
+/// Time of a request or an answer of a slow store.
+const SLOW_LATENCY: Duration = Duration::from_millis(140);
 /// Time limit of a call to the store, in addition to the wait of a read.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time limit of a chunk when reading the newest records.
@@ -47,6 +51,10 @@
     LoseAnswers,
     /// The first answer to each append with a fence is lost.
     LoseFirstAnswers,
+    /// Of the answers to appends with a fence, only each fifth arrives.
+    LoseMostAnswers,
+    /// An append with a fence takes 120 ms, one after the other, and each way of the call 140 ms.
+    SlowAppends,
     /// Appends to the intake are executed seconds later, without an answer.
     DelayIntake,
     /// Calls are neither executed nor answered.
@@ -84,6 +92,10 @@
     /// Topics whose reads are blocked, by the name of the process.
     pub(super) block_reads: BTreeMap<String, BTreeSet<Topic>>,
     pub(super) fault: Fault,
+    /// Number of appends with a fence.
+    pub(super) fenced_appends: u64,
+    /// Time until which the appends with a fence that have arrived take, by topic.
+    pub(super) fenced_until: BTreeMap<Topic, Instant>,
     /// Next call that fails.
     pub(super) defect: Option<Defect>,
     pub(super) logs: BTreeMap<Topic, Log>,
@@ -234,6 +246,18 @@
         self.link.answer(bytes).await;
     }
 
+    /// Waits until the store carries out an append with a fence, if it is slow.
+    async fn wait_turn(&self, topic: Topic) {
+        sleep(SLOW_LATENCY).await;
+        let end = {
+            let mut shared = self.shared.borrow_mut();
+            let until = shared.fenced_until.entry(topic).or_insert_with(Instant::now);
+            *until = (*until).max(Instant::now()) + SLOW_APPEND;
+            *until
+        };
+        sleep_until(end).await;
+    }
+
     /// Appends records to the intake some time later.
     fn append_late(&self, entries: Vec<Entry>) {
         let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
@@ -324,6 +348,10 @@
                 self.append_late(entries.to_vec());
                 std::future::pending::<()>().await;
             }
+            let slow = fence.is_some() && self.shared.borrow().fault == Fault::SlowAppends;
+            if slow {
+                self.wait_turn(topic).await;
+            }
             let (result, is_new) = {
                 let mut shared = self.shared.borrow_mut();
                 let log = shared.logs.entry(topic).or_default();
@@ -335,10 +363,23 @@
                 self.appended.notify_waiters();
                 let fault = self.shared.borrow().fault;
                 let first = is_new && fence.is_some();
-                if fault == Fault::LoseAnswers || fault == Fault::LoseFirstAnswers && first {
+                let lost = match fault {
+                    Fault::LoseAnswers => true,
+                    Fault::LoseFirstAnswers => first,
+                    Fault::LoseMostAnswers if fence.is_some() => {
+                        let mut shared = self.shared.borrow_mut();
+                        shared.fenced_appends += 1;
+                        !shared.fenced_appends.is_multiple_of(5)
+                    }
+                    _ => false,
+                };
+                if lost {
                     std::future::pending::<()>().await;
                 }
             }
+            if slow {
+                sleep(SLOW_LATENCY).await;
+            }
             self.answer(ANSWER_OVERHEAD_BYTES).await;
             result
         };
--- a/crates/jobs/tests/repeats.rs
+++ b/crates/jobs/tests/repeats.rs
@@ -127,3 +127,21 @@
     let (answered, _) = play(&times(20, 10), &[first, Attempt::Refused(700), Attempt::Refused(700)]).await;
     assert_eq!(answered, Answered { result: Err(expected), repeats: 2 });
 }
+
+/// Guards against calls that wait for the time limit of their attempts while the store loses most answers.
+#[tokio::test(start_paused = true)]
+async fn repeats_follow_at_an_even_pace_while_answers_are_lost() {
+    let times = times(20, 10);
+    let (learned, _) = play(&times, &[Attempt::Lost, Attempt::Answered(10)]).await;
+    assert_eq!(learned.result, Ok(1));
+    let script =
+        [Attempt::Lost, Attempt::Lost, Attempt::Lost, Attempt::Lost, Attempt::Lost, Attempt::Answered(10)];
+    let (answered, took) = play(&times, &script).await;
+    assert_eq!(answered, Answered { result: Ok(5), repeats: 5 });
+    assert!(took < LIMIT.as_millis() / 2, "{took} ms");
+    for _ in 0..20 {
+        play(&times, &[Attempt::Answered(10)]).await;
+    }
+    let (answered, _) = play(&times, &[]).await;
+    assert_eq!(answered.repeats, 2, "the store loses no answers any more");
+}
