Let two writes of the owner be under way

Cause: a change waited for the answer to the write before its own. In a store that takes 0.4 s for a write the owner made 2 to 3 of them a second, and a start waited for up to two.

While a write is under way, the next one may begin after a time that follows from the store's answers. The answer to an append shows that those before it are stored, since the store takes them in order; writes are confirmed in order. Starts still go out only once their own write is stored. No second write begins while the store refuses.

Failed before: a_start_waits_for_one_write_of_a_slow_store.

--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -121,6 +121,10 @@
         self.handle.meters.owned("claimed");
         state.progress.next = Some(end);
         state.sequence = sequence + 1;
+        state.stored_sequence = sequence;
+        state.open_writes.clear();
+        state.write_stored = None;
+        state.write_failed = false;
         self.owner_wakeup.notify_one();
     }
 
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -35,7 +35,7 @@
 
 /// Interval between two checks of readiness.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Repeats of the owner's writes, of which one is under way at a time.
+/// Repeats of the owner's writes.
 const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 5 };
 
 /// Node of the fleet of entry instances.
@@ -48,6 +48,8 @@
     state: RefCell<State>,
     /// How long the store takes to answer the owner's writes.
     write_times: Cell<AnswerTimes>,
+    /// Signals that more of the owner's appends to the progress are known to be stored.
+    progress_stored: Notify,
     /// Wakes the owner loop.
     owner_wakeup: Notify,
     /// Wakes the intake writer.
@@ -72,6 +74,7 @@
             handle,
             state: RefCell::default(),
             write_times: Cell::new(AnswerTimes::new(WRITE_REPEATS)),
+            progress_stored: Notify::new(),
             owner_wakeup: Notify::new(),
             intake_wakeup: Notify::new(),
             load_wakeup: Notify::new(),
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -7,6 +7,7 @@
 
 use super::load::OwnerLoad;
 use super::repeats::call_repeated;
+use super::state::OpenWrite;
 use super::{Node, unix_ms};
 use crate::dispatch::command::Command;
 use crate::dispatch::event::Outcome;
@@ -19,8 +20,15 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum interval between two ticks, so that events are processed in batches.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(5);
-/// Minimum interval between two writes, so that changes are stored in batches.
+/// Minimum time from the end of a write to the next one, so that changes are stored in batches.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(12);
+/// Maximum number of writes under way. The store answers repeats of the last five appends. More would wait for each other
+/// in a slow store, with the repeats of their appends.
+const MAX_OPEN_WRITES: u32 = 2;
+/// Minimum time from the begin of a write to the next one while it is under way.
+const MIN_OPEN_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay of an append that reached the store before the one that it follows.
+const PREDECESSOR_DELAY: Duration = Duration::from_millis(30);
 /// Age of the owner's view of the intake from which it starts no tasks, because their jobs may have been cancelled.
 /// Shorter than the time within which a cancellation must take effect.
 const MAX_INTAKE_AGE: Duration = Duration::from_secs(2);
@@ -34,7 +42,6 @@
 impl<P: Platform> Node<P> {
     /// Runs the scheduler while this node is the owner.
     pub(super) async fn run_owner(self: Rc<Self>) {
-        let mut writing: Option<tokio::task::JoinHandle<()>> = None;
         let mut counted = (0, Counters::default());
         let mut load = OwnerLoad::new(Counters::default());
         let mut outage_since = None;
@@ -43,7 +50,7 @@
             let _ = timeout(TICK_INTERVAL, self.owner_wakeup.notified()).await;
             let now = self.now();
             let begun = Instant::now();
-            let idle = writing.as_ref().is_none_or(tokio::task::JoinHandle::is_finished);
+            let may_write = self.may_write();
             let (commands, write, dropped, cancellations, fenced) = {
                 let mut state = self.state.borrow_mut();
                 let Some(dispatcher) = state.dispatcher() else { continue };
@@ -56,7 +63,7 @@
                 self.handle.meters.decided(&counted.1, &dispatcher.counters);
                 counted.1 = dispatcher.counters;
                 dispatcher.take_lateness().into_iter().for_each(|late_ms| self.handle.meters.ended(late_ms));
-                let write = if idle { dispatcher.take_write(now) } else { None };
+                let write = if may_write { dispatcher.take_write(now) } else { None };
                 let dropped = dispatcher.take_dropped();
                 let cancellations = dispatcher.take_dropped_cancellations();
                 let started = dispatcher.take_started();
@@ -76,7 +83,7 @@
                 continue;
             }
             if let Some(write) = write {
-                writing = Some(self.run_once("store_write", Rc::clone(&self).store_write(write)));
+                self.begin_write(write);
             }
             if !dropped.is_empty() {
                 self.run_once("delete_intake", Rc::clone(&self).delete_intake(dropped));
@@ -107,27 +114,92 @@
         self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.epoch())
     }
 
-    /// Stores a write under the current epoch, in several appends if it is large. Starts are sent and ends acknowledged only
-    /// after the whole write is stored, so a successor may read a part of it.
-    async fn store_write(self: Rc<Self>, write: Write) {
+    /// True if the next write may begin. While one is under way, others follow at the pace at which the store answers, so
+    /// that a change does not wait for the answers to earlier ones.
+    fn may_write(&self) -> bool {
+        let state = self.state.borrow();
+        let Some(last) = state.open_writes.back() else {
+            return state.write_stored.is_none_or(|at| at.elapsed() >= MIN_WRITE_INTERVAL);
+        };
+        let interval = (self.write_times.get().smoothed() / MAX_OPEN_WRITES).max(MIN_OPEN_INTERVAL);
+        // Another write is of no use to a store that takes none, and would wait for all appends of a large one.
+        !state.write_failed
+            && last.first == last.last
+            && state.open_writes.len() < MAX_OPEN_WRITES as usize
+            && last.begun.elapsed() >= interval
+    }
+
+    /// Begins to store a write under the current epoch, in several appends if it is large. Starts are sent and ends
+    /// acknowledged only after the whole write and those before it are stored, so a successor may read a part of it.
+    fn begin_write(self: &Rc<Self>, write: Write) {
         let Some(epoch) = self.epoch() else { return };
+        let write = Rc::new(write);
+        let mut parts = 0;
+        let mut rest = write.entries.as_slice();
+        while !rest.is_empty() {
+            rest = &rest[count_fitting(rest, self.options.append_bytes)..];
+            parts += 1;
+        }
+        let first = {
+            let mut state = self.state.borrow_mut();
+            let first = state.sequence;
+            state.sequence += parts;
+            let last = state.sequence - 1;
+            let open = OpenWrite { write: Rc::clone(&write), first, last, begun: Instant::now() };
+            state.open_writes.push_back(open);
+            first
+        };
+        if parts == 0 {
+            self.confirm_writes(epoch);
+        } else {
+            self.run_once(
+                "store_write",
+                Rc::clone(self).store_write(write, Fence { epoch, sequence: first }),
+            );
+        }
+    }
+
+    /// Appends the parts of a write, the first one with the given fence.
+    async fn store_write(self: Rc<Self>, write: Rc<Write>, mut fence: Fence) {
         let mut rest = write.entries.as_slice();
         while !rest.is_empty() {
             let (part, later) = rest.split_at(count_fitting(rest, self.options.append_bytes));
-            if !self.store_part(epoch, part).await {
+            let stored = tokio::select! {
+                stored = self.append_fenced(Topic::Progress, part, fence) => stored,
+                () = self.progress_stored(fence) => true,
+            };
+            if !stored || !self.advance_stored(fence) {
                 return;
             }
+            fence.sequence += 1;
             rest = later;
         }
-        self.confirm_write(epoch, &write);
-        sleep(MIN_WRITE_INTERVAL).await;
     }
 
-    /// Appends a part of a write. False if this node is no longer the owner.
-    async fn store_part(&self, epoch: u64, entries: &[Entry]) -> bool {
-        let sequence = self.state.borrow().sequence;
-        let fence = Fence { epoch, sequence };
-        self.append_fenced(Topic::Progress, entries, fence).await && self.advance_sequence(epoch, sequence)
+    /// Waits until an append is known to be stored by the answer to a later one: the store takes them in order.
+    async fn progress_stored(&self, fence: Fence) {
+        loop {
+            let stored = self.progress_stored.notified();
+            if self.epoch() != Some(fence.epoch) || self.state.borrow().stored_sequence >= fence.sequence {
+                return;
+            }
+            stored.await;
+        }
+    }
+
+    /// Records that an append is stored, and so are those before it. False if this node is no longer the owner.
+    fn advance_stored(&self, fence: Fence) -> bool {
+        if self.epoch() != Some(fence.epoch) {
+            return false;
+        }
+        {
+            let mut state = self.state.borrow_mut();
+            state.stored_sequence = state.stored_sequence.max(fence.sequence);
+            state.write_failed = false;
+        }
+        self.confirm_writes(fence.epoch);
+        self.progress_stored.notify_waiters();
+        true
     }
 
     /// Appends records as the owner, and retries until the store has answered. False if this node is no longer the owner.
@@ -137,6 +209,7 @@
                 return false;
             }
             let begun = Instant::now();
+            let known = self.state.borrow().stored_sequence;
             // The store carries out an append with a fence once, so it may be repeated while its answer is missing.
             let append = async || self.platform.store().append(topic, entries, Some(fence), None).await;
             let answered = call_repeated(&self.write_times, append).await;
@@ -147,12 +220,26 @@
                     return true;
                 }
                 Err(StoreError::SequenceMismatch(expected)) if expected == fence.sequence + 1 => return true,
+                // A later append is stored, so this one is.
+                Err(StoreError::SequenceMismatch(expected))
+                    if topic == Topic::Progress
+                        && (fence.sequence + 1..=self.state.borrow().sequence).contains(&expected) =>
+                {
+                    return true;
+                }
+                // An earlier append is under way.
+                Err(StoreError::SequenceMismatch(expected))
+                    if topic == Topic::Progress && (known + 1..fence.sequence).contains(&expected) =>
+                {
+                    sleep(PREDECESSOR_DELAY).await;
+                }
                 Err(StoreError::Fenced | StoreError::SequenceMismatch(_)) => {
                     self.step_down("the store knows a newer owner");
                     return false;
                 }
                 Err(error) => {
                     self.handle.meters.retried("write_not_stored");
+                    self.state.borrow_mut().write_failed |= topic == Topic::Progress;
                     let largest = entries.iter().max_by_key(|entry| entry.size());
                     log::warn!(
                         error:% = error, topic:? = topic, sequence = fence.sequence, records = entries.len(),
@@ -167,21 +254,16 @@
         }
     }
 
-    /// Advances the sequence number after an append. False if this node is no longer the owner.
-    fn advance_sequence(&self, epoch: u64, sequence: u64) -> bool {
-        let is_owner = self.epoch() == Some(epoch);
-        if is_owner {
-            self.state.borrow_mut().sequence = sequence + 1;
-        }
-        is_owner
-    }
-
-    fn confirm_write(&self, epoch: u64, write: &Write) {
+    /// Passes the writes that are stored to the scheduler, oldest first.
+    fn confirm_writes(&self, epoch: u64) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        if let Some(dispatcher) = state.dispatcher().filter(|d| d.epoch() == epoch) {
-            dispatcher.stored(now, write);
-            state.unpublished.extend(write.jobs());
+        while let Some(open) = state.pop_stored() {
+            if let Some(dispatcher) = state.dispatcher().filter(|d| d.epoch() == epoch) {
+                dispatcher.stored(now, &open.write);
+                state.unpublished.extend(open.write.jobs());
+            }
+            state.write_stored = Some(Instant::now());
         }
         self.owner_wakeup.notify_one();
     }
--- a/crates/jobs/src/node/repeats/mod.rs
+++ b/crates/jobs/src/node/repeats/mod.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Smoothed time that answers take.
+    #[must_use]
+    pub const fn smoothed(&self) -> Duration {
+        self.smoothed
+    }
+
     /// Time after which an answer is late.
     #[must_use]
     pub fn late_after(&self) -> Duration {
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of a node.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,8 +9,8 @@
 use tokio::time::Instant;
 
 use crate::catalog::Catalog;
-use crate::dispatch::Dispatcher;
 use crate::dispatch::event::{Wave, WaveRecord};
+use crate::dispatch::{Dispatcher, Write};
 use crate::ids::JobId;
 use crate::ports::Page;
 use crate::record::Entry;
@@ -89,6 +90,17 @@
     pub(super) answer: oneshot::Sender<Stored>,
 }
 
+/// Write of the owner that is not known to be stored.
+#[derive(Debug)]
+pub(super) struct OpenWrite {
+    pub(super) write: Rc<Write>,
+    /// Sequence number of its first append.
+    pub(super) first: u64,
+    /// Sequence number of its last append.
+    pub(super) last: u64,
+    pub(super) begun: Instant,
+}
+
 /// State of a node.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -126,6 +138,14 @@
     pub(super) stopping: bool,
     /// Sequence number of the owner's next append to the progress.
     pub(super) sequence: u64,
+    /// Sequence number of the owner's last append to the progress that is known to be stored.
+    pub(super) stored_sequence: u64,
+    /// Writes of the owner that are not known to be stored, oldest first.
+    pub(super) open_writes: VecDeque<OpenWrite>,
+    /// Time at which a write of the owner was last known to be stored.
+    pub(super) write_stored: Option<Instant>,
+    /// True if the store did not take an append of the owner since then.
+    pub(super) write_failed: bool,
     /// Jobs of the owner whose state may differ from the published summary.
     pub(super) unpublished: BTreeSet<JobId>,
 }
@@ -195,6 +215,12 @@
         counts.get(queue).copied().unwrap_or(0)
     }
 
+    /// Removes the oldest open write if it is stored.
+    pub(super) fn pop_stored(&mut self) -> Option<OpenWrite> {
+        self.open_writes.front().filter(|open| open.last <= self.stored_sequence)?;
+        self.open_writes.pop_front()
+    }
+
     /// Drops the job table, so that it is loaded again if this node is to hold it.
     pub(super) fn unload_table(&mut self) {
         self.table_generation += 1;
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -124,6 +124,34 @@
     .await;
 }
 
+/// Guards against a start that waits for the answers to earlier writes of a slow store, before its own is sent.
+#[tokio::test(start_paused = true)]
+async fn a_start_waits_for_one_write_of_a_slow_store() {
+    Cluster::run(1, |cluster| async move {
+        cluster.set_fault(Fault::SlowAppends);
+        let mut waits = Vec::new();
+        for id in 1..=8 {
+            let begun = Instant::now();
+            assert!(matches!(cluster.call(0, submit(id, 1)).await, Answer::Accepted(_)));
+            waits.push(begun);
+            cluster.run_for(230).await;
+        }
+        cluster.run_for(3_000).await;
+        let waits: Vec<Duration> = (1..=8)
+            .zip(waits)
+            .map(|(id, begun)| cluster.last_start(id).expect("the job started").duration_since(begun))
+            .collect();
+        let mean = waits.iter().sum::<Duration>() / 8;
+        assert!(mean < Duration::from_millis(600), "{waits:?}");
+        assert_eq!(cluster.duplicate_starts(), 0);
+        assert_eq!(cluster.claim_count(), 1);
+        for id in 1..=8 {
+            assert_eq!(cluster.call(0, read(id)).await, Answer::State(JobState::Completed));
+        }
+    })
+    .await;
+}
+
 /// Guards against work that stands still for the time limit of a call with each answer to the owner that is lost.
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_to_the_owner_delays_no_job_by_the_time_limit_of_a_call() {
