Keep machines in their pools while the store is late, and count announced jobs

Cause: demand counted only work that was read. While the store was slow or refused, wanted machines fell from 261 to 102 and the machines in pools from 317 to 187; orders to park them waited for the store and closed their workers.

While changes wait for 250 ms, the view of the intake is 1 s old or an announced job waits for 300 ms, no machine is parked; nor in the 1.5 s after, nor for more than 20 s. Pools that need machines still get those of others. A record that enters the owner's queue is announced: its work counts as demand once, for 4 s at most, until it is stored.

Failed before: no_pool_gives_machines_back_while_the_store_is_down; the test of announced work needs the new call.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -163,6 +163,8 @@
     last_load: u64,
     /// Time up to which all accepted jobs and cancellations are known.
     intake_until: u64,
+    /// Time up to which all changes are stored.
+    settled: u64,
     /// Jobs removed since the last call of [`Self::take_dropped`].
     dropped: Vec<JobId>,
     /// Removed jobs whose records could not be deleted from the intake.
@@ -241,6 +243,7 @@
             last_sweep: 0,
             last_load: 0,
             intake_until: 0,
+            settled: now,
             dropped: Vec::new(),
             undeleted: Vec::new(),
             early_cancellations: BTreeMap::new(),
@@ -356,6 +359,9 @@
 
     /// Advances all systems to a time.
     pub fn tick(&mut self, now: u64) {
+        if self.is_clean() && self.stored_write == self.last_write {
+            self.settled = now;
+        }
         self.begin_occurrences(now);
         self.expire_leases(now);
         self.send_due_orders(now);
@@ -382,10 +388,17 @@
         std::mem::take(&mut self.lateness)
     }
 
+    /// True if nothing has changed since the last write was created.
+    fn is_clean(&self) -> bool {
+        self.dirty_jobs.is_empty()
+            && self.dirty_waves.is_empty()
+            && self.dirty_orders.is_empty()
+            && !self.owner_dirty
+    }
+
     /// Creates the next write; none if nothing changed.
     pub fn take_write(&mut self, now: u64) -> Option<Write> {
-        let clean = self.dirty_jobs.is_empty() && self.dirty_waves.is_empty() && self.dirty_orders.is_empty();
-        if clean && !self.owner_dirty {
+        if self.is_clean() {
             return None;
         }
         self.last_write += 1;
@@ -429,6 +442,7 @@
     /// ends are acknowledged.
     pub fn stored(&mut self, now: u64, write: &Write) {
         self.stored_write = write.number;
+        self.settled = self.settled.max(write.created);
         self.contacted(write.created);
         for &(id, started, phase) in &write.states {
             if let Some(job) = self.table.get_mut(id) {
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -1,9 +1,15 @@
 //! Demand of each pool, from arriving work, waiting work and long-running tasks.
+//!
+//! While the store is late, work arrives that can't be read, so its absence says nothing about the demand: pools keep
+//! machines that no other pool needs, for a limited time.
+
+use std::collections::BTreeMap;
 
 use slotmap::SecondaryMap;
 
 use super::super::super::Dispatcher;
 use super::super::super::names::PoolKey;
+use crate::DECISIONS;
 use crate::ids::JobId;
 use crate::spec::Submission;
 
@@ -27,6 +33,84 @@
 /// They cover the first seconds of a surge.
 const KEPT_MACHINES: u64 = 3;
 
+/// Time for which a change may wait for the store before it counts as late, in milliseconds. Several writes of a
+/// store without load.
+const LATE_WRITE_MS: u64 = 250;
+/// Age of the view of the intake from which the store counts as late, in milliseconds. Longer than a read that waits
+/// for a record.
+const LATE_INTAKE_MS: u64 = 1_000;
+/// Time after which an announced job that isn't stored shows that the store is late, in milliseconds.
+const LATE_JOB_MS: u64 = 300;
+/// Time for which pools keep their machines after the store was last late, in milliseconds. Callers that were refused
+/// come back, and the averages fill again.
+const HOLD_MS: u64 = 1_500;
+/// Longest time for which pools keep their machines, in milliseconds.
+const MAX_HOLD_MS: u64 = 20_000;
+/// Time for which an announced job is awaited, in milliseconds. A call doesn't wait longer for the store.
+const ANNOUNCED_MS: u64 = 4_000;
+/// Largest number of announced jobs that are awaited.
+const MAX_ANNOUNCED: usize = 4_096;
+
+/// Job that was handed in and isn't known to be stored.
+#[derive(Clone, Debug)]
+struct Announced {
+    /// Time at which it was handed in.
+    at: u64,
+    pool: String,
+    /// Work, in thousandths of a core times milliseconds.
+    work: u64,
+}
+
+/// Jobs that were handed in and aren't known to be stored.
+#[derive(Clone, Debug, Default)]
+pub(in super::super::super) struct Announcements(BTreeMap<JobId, Announced>);
+
+impl Announcements {
+    /// Forgets the jobs that are no longer awaited.
+    fn expire(&mut self, now: u64) {
+        self.0.retain(|_, job| now <= job.at + ANNOUNCED_MS);
+    }
+
+    /// True if a job waits longer than a store without load takes.
+    fn late(&self, now: u64) -> bool {
+        self.0.values().any(|job| now > job.at + LATE_JOB_MS)
+    }
+
+    /// Processor needed to place the announced work of a pool in time, in thousandths of a core.
+    fn backlog(&self, pool: &str) -> u64 {
+        let jobs = self.0.values().filter(|job| job.pool == pool);
+        jobs.map(|job| job.work).fold(0, u64::saturating_add) / BACKLOG_MS
+    }
+}
+
+/// Period in which pools keep their machines.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in super::super::super) struct Hold {
+    /// Time since which the store is late.
+    since: Option<u64>,
+    /// Time at which the store was last late.
+    last: u64,
+}
+
+impl Hold {
+    /// Updates the period.
+    const fn update(&mut self, now: u64, late: bool) {
+        if late {
+            if self.since.is_none() {
+                self.since = Some(now);
+            }
+            self.last = now;
+        } else if now > self.last + HOLD_MS {
+            self.since = None;
+        }
+    }
+
+    /// True while pools keep their machines.
+    pub(super) fn holds(&self, now: u64) -> bool {
+        self.since.is_some_and(|since| now <= since + MAX_HOLD_MS)
+    }
+}
+
 /// Decaying sum of the work that arrived.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
@@ -108,13 +192,62 @@
         let Some(job) = self.table.get(id) else { return };
         let pool = self.terms(&job.submission).pool;
         let work = work(&job.submission);
+        self.add_work(now, pool, work);
+    }
+
+    /// Adds the work of a job that was handed in and is to be stored. It is counted once, however often the job is handed
+    /// in or read.
+    pub fn announce(&mut self, now: u64, submission: &Submission) {
+        let announced = &self.fleet.announced.0;
+        let known = self.table.get(submission.id).is_some() || announced.contains_key(&submission.id);
+        if known || announced.len() >= MAX_ANNOUNCED {
+            return;
+        }
+        let pool = self.terms(submission).pool;
+        let work = work(submission);
+        self.fleet.announced.0.insert(submission.id, Announced { at: now, pool: pool.clone(), work });
+        self.add_work(now, pool, work);
+    }
+
+    /// Forgets an announced job that is stored. True if its work is counted.
+    pub(in super::super) fn take_announced(&mut self, id: JobId) -> bool {
+        self.fleet.announced.0.remove(&id).is_some()
+    }
+
+    fn add_work(&mut self, now: u64, pool: String, work: u64) {
         let demand = self.fleet.demand.entry(pool).or_default();
         demand.decay(now);
         demand.add(work);
     }
 
+    /// True if changes, the intake or announced jobs wait longer than a store without load takes.
+    fn store_is_late(&self, now: u64) -> bool {
+        now > self.settled + LATE_WRITE_MS
+            || now > self.intake_until + LATE_INTAKE_MS
+            || self.fleet.announced.late(now)
+    }
+
+    /// Updates the period in which pools keep their machines.
+    fn update_hold(&mut self, now: u64) {
+        self.fleet.announced.expire(now);
+        let late = self.store_is_late(now);
+        let before = self.fleet.hold.holds(now);
+        self.fleet.hold.update(now, late);
+        let holds = self.fleet.hold.holds(now);
+        if holds && !before {
+            log::info!(
+                target: DECISIONS, unstored_ms = now.saturating_sub(self.settled),
+                intake_age_ms = now.saturating_sub(self.intake_until), announced = self.fleet.announced.0.len();
+                "the store is late; pools keep their machines"
+            );
+        } else if before && !holds {
+            log::info!(target: DECISIONS, late = late; "pools no longer keep their machines for the store");
+        }
+    }
+
     /// Updates the number of machines that each pool needs.
     pub(super) fn update_demand(&mut self, now: u64) {
+        self.update_hold(now);
         for pool in &self.catalog.pools {
             let demand = self.fleet.demand.entry(pool.name.clone()).or_default();
             demand.decay(now);
@@ -125,9 +258,11 @@
             let size = self.worker_cpu(&name);
             let key = self.pools.key(&name);
             let waiting = key.and_then(|key| all.get(key)).copied().unwrap_or_default();
+            let announced = self.fleet.announced.backlog(&name);
             let Some(demand) = self.fleet.demand.get_mut(&name) else { continue };
             let rate = demand.forecast().saturating_mul(100 + HEADROOM_PERCENT) / 100;
-            let needed = rate.saturating_add(waiting.backlog).saturating_add(waiting.long_running);
+            let backlog = waiting.backlog.saturating_add(announced);
+            let needed = rate.saturating_add(backlog).saturating_add(waiting.long_running);
             let needed = needed.div_ceil(size.max(1));
             demand.machines = needed.max(waiting.min_workers + SPARE_MACHINES);
             demand.kept = needed.max(waiting.min_workers + KEPT_MACHINES);
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -21,7 +21,7 @@
 use crate::record::LastOrder;
 use crate::table::Placement;
 
-pub(in super::super) use demand::Demand;
+pub(in super::super) use demand::{Announcements, Demand, Hold};
 pub(in super::super) use unnamed::UnnamedWorkers;
 pub use upkeep::WaveProgress;
 pub(in super::super) use upkeep::WaveState;
@@ -155,6 +155,8 @@
     /// Waves whose state is being published, with the time since which.
     pub(super) publishing: BTreeMap<u64, u64>,
     pub(super) demand: BTreeMap<String, Demand>,
+    announced: Announcements,
+    hold: Hold,
     last_plan: u64,
     /// Number of the last order.
     last_order: u64,
--- a/crates/jobs/src/dispatch/systems/fleet/moves.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/moves.rs
@@ -151,8 +151,9 @@
             for name in std::mem::take(&mut machines.evacuated) {
                 self.start_move(now, &name, parking_pool);
             }
+            let holds = self.fleet.hold.holds(now);
             let Some(demand) = self.fleet.demand.get_mut(&pool) else { continue };
-            if machines.total <= demand.kept {
+            if holds || machines.total <= demand.kept {
                 demand.surplus = None;
                 continue;
             }
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -44,7 +44,8 @@
     /// Handles a job that was just added to the table. One that was cancelled before ends at once.
     pub fn submitted(&mut self, now: u64, id: JobId) {
         self.track(now, id);
-        if self.table.get(id).is_some_and(|job| !job.canceled) {
+        let announced = self.take_announced(id);
+        if !announced && self.table.get(id).is_some_and(|job| !job.canceled) {
             self.add_arrival(now, id);
         }
         self.unchanged = false;
--- a/crates/jobs/src/node/intake.rs
+++ b/crates/jobs/src/node/intake.rs
@@ -26,6 +26,7 @@
 impl<P: Platform> Node<P> {
     /// Stores a record; the writer gives up at the deadline.
     pub(super) async fn store_intake(&self, entry: Entry, deadline: Instant) -> Stored {
+        self.announce(&entry);
         let (answer, wait) = oneshot::channel();
         self.state.borrow_mut().queue.push(PendingRecord { entry, deadline, answer });
         self.intake_wakeup.notify_one();
--- a/crates/jobs/tests/moves.rs
+++ b/crates/jobs/tests/moves.rs
@@ -65,6 +65,72 @@
     assert_eq!(used, 1);
 }
 
+/// Guards against machines that are parked since no work can be read while the store is down, and are missed once it
+/// serves again.
+#[test]
+fn no_pool_gives_machines_back_while_the_store_is_down() {
+    let mut world = World::with(catalog(), &[("red", 6), ("blue", 2), ("spare", 4)]);
+    let mut next = 0;
+    let mut load = |world: &mut World| {
+        next += 1;
+        world.submit(job(next, vec![step(6, cores(2), 500)]));
+        world.run_for(100);
+    };
+    (0..80).for_each(|_| load(&mut world));
+    let red = |world: &World| world.workers.values().filter(|worker| worker.record.pool == "red").count();
+    let before = red(&world);
+    assert!(before >= 5, "{before} machines before");
+    (world.down, world.intake_paused) = (true, true);
+    world.run_for(6_000);
+    (world.down, world.intake_paused) = (false, false);
+    let moves = world.moves.len();
+    (0..10).for_each(|_| load(&mut world));
+    let given: Vec<_> = world.moves[moves..].iter().filter(|(_, _, pool)| pool == "spare").collect();
+    assert!(given.is_empty(), "{given:?}");
+    assert!(red(&world) >= before, "{} machines of {before}", red(&world));
+    world.run_for(10_000);
+    assert!(red(&world) < before, "{} machines long after the work", red(&world));
+}
+
+/// Guards against machines that are paid for without end while the store stays down.
+#[test]
+fn machines_are_held_for_a_limited_time() {
+    let mut world = World::with(catalog(), &[("red", 6), ("blue", 2), ("spare", 4)]);
+    for id in 1..=80 {
+        world.submit(job(id, vec![step(6, cores(2), 500)]));
+        world.run_for(100);
+    }
+    world.intake_paused = true;
+    world.run_for(40_000);
+    let red = world.workers.values().filter(|worker| worker.record.pool == "red").count();
+    assert!(red <= 4, "{red} machines");
+}
+
+/// Machines are ordered for jobs that were handed in, and the stored job isn't counted a second time.
+#[test]
+fn work_that_is_announced_is_demand_before_it_is_stored() {
+    let peak_with = |announced: bool| {
+        let mut world = World::with(catalog(), &[("red", 2), ("spare", 12)]);
+        world.run_for(2_000);
+        let jobs: Vec<_> = (1..=6).map(|id| job(id, vec![step(4, cores(2), 400)])).collect();
+        if announced {
+            for submission in jobs.iter().chain(&jobs) {
+                world.dispatcher.announce(world.now, submission);
+            }
+            world.run_for(200);
+            assert!(!world.moves.is_empty(), "no machine was ordered");
+        }
+        jobs.into_iter().for_each(|submission| world.submit(submission));
+        world.run_for(100);
+        let to_red = |(_, _, pool): &&(u64, String, String)| pool == "red";
+        world.run_for(3_000);
+        assert!((1..=6).all(|id| world.state(id) == Some(JobState::Completed)));
+        world.moves.iter().filter(to_red).count()
+    };
+    let (without, with) = (peak_with(false), peak_with(true));
+    assert!(with > 0 && with <= without + 1, "{with} moves, {without} without");
+}
+
 #[test]
 fn a_new_owner_leaves_machines_alone_that_were_ordered_a_moment_ago() {
     let mut world = World::with(catalog(), &[("red", 2), ("spare", 6)]);
