Repeat a holder's joins while their answers are lost

Cause: a join without an answer took 0.9 s and the next one followed 0.3 s later, but a holder is dropped after 1.1 s.

A join is now repeated beside its first attempt, and follows at once after attempts that had no answer.

--- a/crates/jobs/src/node/membership.rs
+++ b/crates/jobs/src/node/membership.rs
@@ -11,7 +11,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Node;
-use crate::ports::{Group, Platform, Store};
+use super::repeats::call_repeated;
+use crate::ports::{Group, Platform, Store, StoreError};
 
 /// Number of instances that hold the job table. Each reads every payload and the state of each task. The number exceeds
 /// that of the availability zones and machines that fail together, so that one holder survives all but the largest
@@ -150,10 +151,17 @@
                 continue;
             }
             let asked = self.now();
-            let joined = store.join(Group::Holders, &self.options.name, generation).await;
-            let Ok(joined) = joined else {
-                sleep(self.options.join_interval).await;
-                continue;
+            let join = async || store.join(Group::Holders, &self.options.name, generation).await;
+            let joined = call_repeated(&self.join_times, join).await;
+            (0..joined.repeats).for_each(|_| self.handle.meters.retried("join_answer_late"));
+            let joined = match joined.result {
+                Ok(joined) => joined,
+                Err(error) => {
+                    // An attempt without an answer has taken most of the time to live.
+                    let unknown = error == StoreError::Unknown;
+                    sleep(if unknown { CHECK_INTERVAL } else { self.options.join_interval }).await;
+                    continue;
+                }
             };
             self.state.borrow_mut().last_join = Some(Instant::now());
             let changed = joined != generation;
--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -37,6 +37,8 @@
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Repeats of the owner's writes.
 const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 5 };
+/// Repeats of a holder's joins. A member whose joins don't arrive is dropped soon, and the work changes its owner.
+const JOIN_REPEATS: Limits = Limits { min_delay: Duration::from_millis(150), attempts: 3 };
 
 /// Node of the fleet of entry instances.
 pub struct Node<P: Platform> {
@@ -48,6 +50,8 @@
     state: RefCell<State>,
     /// How long the store takes to answer the owner's writes.
     write_times: Cell<AnswerTimes>,
+    /// How long the store takes to answer a holder's joins.
+    join_times: Cell<AnswerTimes>,
     /// Signals that more of the owner's appends to the progress are known to be stored.
     progress_stored: Notify,
     /// Wakes the owner loop.
@@ -74,6 +78,7 @@
             handle,
             state: RefCell::default(),
             write_times: Cell::new(AnswerTimes::new(WRITE_REPEATS)),
+            join_times: Cell::new(AnswerTimes::new(JOIN_REPEATS)),
             progress_stored: Notify::new(),
             owner_wakeup: Notify::new(),
             intake_wakeup: Notify::new(),
