--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -99,6 +99,72 @@
     .await;
 }
 
+/// Guards against work that stands still while most answers to the owner are lost.
+#[tokio::test(start_paused = true)]
+async fn work_goes_on_while_most_answers_to_the_owner_are_lost() {
+    Cluster::run(1, |cluster| async move {
+        cluster.set_fault(Fault::LoseMostAnswers);
+        let begun = Instant::now();
+        for id in 1..=10 {
+            assert!(matches!(cluster.call(0, submit(id, 2)).await, Answer::Accepted(_)));
+            cluster.run_for(200).await;
+        }
+        while (1..=10).any(|id| cluster.last_start(id).is_none()) {
+            cluster.run_for(10).await;
+        }
+        let took = begun.elapsed();
+        assert!(took < Duration::from_millis(2_500), "{took:?}");
+        cluster.run_for(3_000).await;
+        for id in 1..=10 {
+            assert_eq!(cluster.call(0, read(id)).await, Answer::State(JobState::Completed));
+        }
+        assert_eq!(cluster.duplicate_starts(), 0);
+        assert_eq!(cluster.claim_count(), 1);
+    })
+    .await;
+}
+
+/// Guards against a work that changes its owner since the answers to joins are lost, although the joins arrive.
+#[tokio::test(start_paused = true)]
+async fn the_owner_stays_while_most_answers_to_joins_are_lost() {
+    Cluster::run(5, |cluster| async move {
+        let owner = cluster.owner();
+        cluster.set_fault(Fault::LoseMostAnswers);
+        for id in 1..=120 {
+            assert!(matches!(cluster.call(owner, submit(id, 2)).await, Answer::Accepted(_)));
+            cluster.run_for(500).await;
+        }
+        assert_eq!((cluster.owner(), cluster.claim_count()), (owner, 1));
+    })
+    .await;
+}
+
+/// Guards against a start that waits for the answer to the write before its own, in a slow store.
+#[tokio::test(start_paused = true)]
+async fn a_start_waits_for_one_write_of_a_slow_store() {
+    Cluster::run(1, |cluster| async move {
+        cluster.set_fault(Fault::SlowAppends);
+        let mut waits = Vec::new();
+        for id in 1..=16 {
+            let begun = Instant::now();
+            assert!(matches!(cluster.call(0, submit(id, 1)).await, Answer::Accepted(_)));
+            // The second job of a pair is accepted while the write with the first one is under way.
+            cluster.run_for(if id % 2 == 1 { 150 } else { 2_500 }).await;
+            if id > 8 && id % 2 == 0 {
+                waits.push(cluster.last_start(id).expect("the job started").duration_since(begun));
+            }
+        }
+        let mean = waits.iter().sum::<Duration>() / 4;
+        assert!(mean < Duration::from_millis(560), "{waits:?}");
+        assert_eq!(cluster.duplicate_starts(), 0);
+        assert_eq!(cluster.claim_count(), 1);
+        for id in 1..=16 {
+            assert_eq!(cluster.call(0, read(id)).await, Answer::State(JobState::Completed));
+        }
+    })
+    .await;
+}
+
 /// Guards against work that stands still for the time limit of a call with each answer to the owner that is lost.
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_to_the_owner_delays_no_job_by_the_time_limit_of_a_call() {
