Store the records of all instances with few appends

Each instance appended its own records, mostly one at a time. A partition carries out its appends one after the other, so a slow store took 8 a second from a fleet that sent over 200, and refused the others.

The owner has one append under way while the store is slow, and a second one once the first is late; the next one contains all that waits. An instance that doesn't reach the owner, or has heard nothing of it for 1.5 s, appends itself. A record that shows in the followed intake or in the summaries answers its caller. A submission that isn't expected to be stored before its deadline is refused before it is sent. During an outage the delay after which a caller is to repeat is about as long as the outage so far.

Changed tests. a_submission_whose_answer_is_lost_is_never_refused now also blocks the reads: with them the record is found, which the new test beside it demands. a_job_that_is_cancelled_before_its_write_is_repeated_never_runs also cuts the calls between the nodes: without that the job is stored by the owner before it is cancelled. Both assert what they did.

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -177,7 +177,7 @@
         );
         match stored {
             Stored::Yes => Answer::Accepted(id),
-            Stored::No => Answer::Refused(Refusal::Store, STORE_RETRY_S),
+            Stored::No => Answer::Refused(Refusal::Store, self.retry_s(id)),
             Stored::Unknown => Answer::Unknown,
         }
     }
@@ -202,7 +202,7 @@
         match stored {
             Stored::Yes if !known => Answer::NoJob,
             Stored::Yes => Answer::Canceled,
-            Stored::No => Answer::Refused(Refusal::Store, STORE_RETRY_S),
+            Stored::No => Answer::Refused(Refusal::Store, self.retry_s(id)),
             Stored::Unknown => Answer::Unknown,
         }
     }
--- a/crates/jobs/src/node/membership.rs
+++ b/crates/jobs/src/node/membership.rs
@@ -62,7 +62,9 @@
             }
             let mut gap = self.options.join_interval;
             // Sends the new generation back at once: until then the store does not reassign the parts of this member.
+            let begun = Instant::now();
             if let Ok(joined) = store.join(Group::Entries, &self.options.name, generation).await {
+                self.add_join_time(begun.elapsed());
                 outdated |= joined != generation;
                 generation = joined;
                 if outdated || since.is_some() {
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -4,15 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use super::intake::Queue;
 use crate::catalog::Catalog;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::event::{Wave, WaveRecord};
 use crate::ids::JobId;
 use crate::ports::Page;
-use crate::record::Entry;
 use crate::summary::Summaries;
 use crate::table::{Job, JobState, Table};
 
@@ -79,16 +78,6 @@
     Unknown,
 }
 
-/// Record that waits to be appended to the intake.
-#[derive(Debug)]
-pub(super) struct PendingRecord {
-    pub(super) entry: Entry,
-    /// Time until which the caller waits.
-    pub(super) deadline: Instant,
-    /// Receives the outcome.
-    pub(super) answer: oneshot::Sender<Stored>,
-}
-
 /// State of a node.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -114,10 +103,8 @@
     pub(super) progress: Cursor,
     /// Incremented when the job table is loaded or dropped, so that results of earlier reads are discarded.
     pub(super) table_generation: u64,
-    /// Records that wait to be appended to the intake.
-    pub(super) queue: Vec<PendingRecord>,
-    /// Number of appends to the intake without an answer.
-    pub(super) open_appends: usize,
+    /// Records of the intake that callers wait for.
+    pub(super) records: Queue,
     /// Time at which this process read the current owner's claim, or of a load of the table other than the first. None
     /// if the claim was in the first load, since it is then old.
     pub(super) claim_seen: Option<Instant>,
--- a/crates/jobs/src/node/summaries.rs
+++ b/crates/jobs/src/node/summaries.rs
@@ -100,6 +100,7 @@
         let fresh = page.entries.iter().filter(|(offset, _)| *offset >= next);
         apply_summaries(&mut state, fresh.map(|(_, entry)| entry));
         state.summary.advance(page, as_of);
+        self.settle(&mut state);
     }
 
     /// Reads the rest of the intake. True once every job that was accepted before this call is known here.
@@ -141,6 +142,7 @@
             }
         }
         state.tail_offset = state.tail_offset.max(page.next);
+        self.settle(&mut state);
         Ok(page.end)
     }
 
@@ -256,8 +258,12 @@
     for entry in entries {
         match read_summary(entry) {
             Ok(change) => {
+                let now = Instant::now();
                 if matches!(change, SummaryChange::IntakeOffset(_)) {
-                    state.offset_read_at = Some(Instant::now());
+                    state.offset_read_at = Some(now);
+                }
+                if matches!(change, SummaryChange::IntakeOffset(_) | SummaryChange::Owner(_)) {
+                    state.records.pace.add_progress(now);
                 }
                 state.summaries.apply(change);
             }
--- a/crates/jobs/src/node/work.rs
+++ b/crates/jobs/src/node/work.rs
@@ -109,6 +109,10 @@
             }
         }
         state.intake.advance(page, as_of);
+        if !page.entries.is_empty() {
+            state.records.pace.add_progress(Instant::now());
+        }
+        self.settle(&mut state);
         if let (Some(dispatcher), Some(as_of)) = (state.dispatcher(), as_of) {
             dispatcher.intake_read(self.millis(as_of));
         }
--- a/crates/jobs/tests/cancellations.rs
+++ b/crates/jobs/tests/cancellations.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use platform::{Cluster, Fault, call, read, submission, submit};
+use platform::{Cluster, Fault, PeerFault, call, read, submission, submit};
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Answer, Call, Verb};
@@ -49,11 +49,13 @@
     Cluster::run(2, move |cluster| async move {
         let entry = 1 - cluster.owner();
         cluster.link(entry).set_cut(true);
+        cluster.set_peer_fault(PeerFault::Cut);
         let caller = Rc::clone(&cluster);
         let caller = spawn_local(async move { caller.call(entry, submit(1, 3)).await });
         cluster.run_for(300).await;
         caller.abort();
         cluster.link(entry).set_cut(false);
+        cluster.set_peer_fault(PeerFault::None);
         assert_eq!(cluster.call((entry + distance) % 2, cancel(1)).await, Answer::NoJob);
         for node in 0..2 {
             assert_eq!(cluster.call(node, read(1)).await, Answer::NoJob);
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -9,6 +9,7 @@
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Answer, Verb};
 use rattanfall_jobs::node::view::{Query, View};
+use rattanfall_jobs::ports::Topic;
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
 use tokio::time::{Instant, timeout};
@@ -90,15 +91,33 @@
 async fn a_submission_whose_answer_is_lost_is_never_refused() {
     Cluster::run(1, |cluster| async move {
         cluster.set_fault(Fault::LoseAnswers);
+        cluster.block_reads(0, &[Topic::Intake, Topic::Summaries]);
         let answer = cluster.call(0, submit(1, 1)).await;
         assert_eq!(answer, Answer::Unknown);
         cluster.set_fault(Fault::None);
+        cluster.block_reads(0, &[]);
         cluster.run_for(3_000).await;
         assert_eq!(cluster.call(0, read(1)).await, Answer::State(JobState::Completed));
     })
     .await;
 }
 
+/// A record that shows in what the instance reads is stored, also if the answer to its append is lost.
+#[tokio::test(start_paused = true)]
+async fn a_submission_whose_answer_is_lost_is_accepted_once_its_record_is_read() {
+    Cluster::run(1, |cluster| async move {
+        cluster.run_for(1_500).await;
+        cluster.set_fault(Fault::LoseAnswers);
+        let begun = Instant::now();
+        assert_eq!(cluster.call(0, submit(1, 1)).await, Answer::Accepted(JobId(1)));
+        assert!(begun.elapsed() < Duration::from_millis(100), "{:?}", begun.elapsed());
+        assert_eq!(cluster.call(0, call(1, Verb::Cancel)).await, Answer::Canceled);
+        assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
+        assert_eq!(cluster.attempts().0, 2);
+    })
+    .await;
+}
+
 /// Guards against work that stands still for the time limit of a call with each answer to the owner that is lost.
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_to_the_owner_delays_no_job_by_the_time_limit_of_a_call() {
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::link::Link;
+use super::peers::{Peer, PeerFault};
 use super::store::{Defect, Fault, MAX_APPEND_BYTES, MAX_PAGE_BYTES, MemoryPlatform, SharedState};
 use super::workers::Worker;
 
@@ -48,16 +49,25 @@
 impl Cluster {
     /// Starts the nodes and runs a scenario once they are ready.
     pub(crate) async fn run<F: Future<Output = ()>>(nodes: usize, scenario: impl FnOnce(Rc<Self>) -> F) {
+        Self::run_limited(nodes, MAX_APPEND_BYTES, scenario).await;
+    }
+
+    /// As [`Self::run`], with appends of at most `append_bytes`.
+    pub(crate) async fn run_limited<F: Future<Output = ()>>(
+        nodes: usize,
+        append_bytes: usize,
+        scenario: impl FnOnce(Rc<Self>) -> F,
+    ) {
         let run = async {
-            let cluster = Rc::new(Self::start(nodes));
+            let cluster = Rc::new(Self::start(nodes, append_bytes));
             cluster.run_for(2_000).await;
             scenario(cluster).await;
         };
         LocalSet::new().run_until(run).await;
     }
 
-    fn start(nodes: usize) -> Self {
-        let mut shared = SharedState { page_bytes: MAX_PAGE_BYTES, ..SharedState::default() };
+    fn start(nodes: usize, append_bytes: usize) -> Self {
+        let mut shared = SharedState { page_bytes: MAX_PAGE_BYTES, append_bytes, ..SharedState::default() };
         let record = |key: &str| Entry { key: key.into(), value: vec![1] };
         shared.logs.entry(Topic::Operator).or_default().entries.push(record("config"));
         for index in 0..WORKERS {
@@ -90,10 +100,12 @@
         };
         let (handle, calls) = Handle::new(64).expect("the metrics can be set up");
         let options = Options {
-            append_bytes: MAX_APPEND_BYTES,
+            append_bytes: self.shared.borrow().append_bytes,
             record_bytes: MAX_RECORD_BYTES,
             ..Options::new(name.clone())
         };
+        let peer = Peer { handle: handle.clone(), killed: Rc::clone(&killed) };
+        self.shared.borrow_mut().peers.insert(name.clone(), peer);
         let node = Node::new(platform, options, handle.clone());
         let stop = Rc::new(Notify::new());
         let stopped = Rc::clone(&stop);
@@ -285,6 +297,28 @@
         self.shared.borrow().defect.is_none()
     }
 
+    /// Sets the time that an append takes.
+    pub(crate) fn set_append_time(&self, time: Duration) {
+        self.shared.borrow_mut().append_time = time;
+    }
+
+    /// Sets the fault of the calls between nodes.
+    pub(crate) fn set_peer_fault(&self, fault: PeerFault) {
+        self.shared.borrow_mut().peer_fault = fault;
+    }
+
+    /// Has the store refuse all appends by a node, or by none.
+    pub(crate) fn refuse_node(&self, node: Option<usize>) {
+        let members = self.members.borrow();
+        self.shared.borrow_mut().refused = node.map(|node| members[node].name.clone()).into_iter().collect();
+    }
+
+    /// Number of appends to the intake that reached the store, and of calls that forwarded records.
+    pub(crate) fn attempts(&self) -> (usize, usize) {
+        let shared = self.shared.borrow();
+        (shared.intake_appends, shared.forwards)
+    }
+
     pub(crate) fn set_fault(&self, fault: Fault) {
         self.shared.borrow_mut().fault = fault;
     }
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -6,21 +6,21 @@
 
 mod cluster;
 mod link;
+mod peers;
 mod store;
 mod workers;
 
-use std::time::Duration;
-
 use rattanfall_jobs::catalog::{Catalog, Pool, Queue, Team};
 use rattanfall_jobs::dispatch::event::{Wave, WorkerRecord};
 use rattanfall_jobs::ids::JobId;
 use rattanfall_jobs::node::calls::{Call, JobRequest, Verb};
 use rattanfall_jobs::node::unix_ms;
-use rattanfall_jobs::ports::{Forwarded, Instruction, InvalidRecord, Peers, Platform};
+use rattanfall_jobs::ports::{Instruction, InvalidRecord, Platform};
 use rattanfall_jobs::record::Entry;
 use rattanfall_jobs::spec::{Resources, Step, Submission, Terms};
 
 pub(crate) use cluster::Cluster;
+pub(crate) use peers::PeerFault;
 use store::MemoryPlatform;
 pub(crate) use store::{Defect, Fault};
 use workers::STARTED_MS;
@@ -90,12 +90,6 @@
     }
 }
 
-impl Peers for MemoryPlatform {
-    async fn forward(&self, _: &str, _: &[Entry], _: Duration) -> Forwarded {
-        Forwarded::Unreachable
-    }
-}
-
 fn terms() -> Terms {
     Terms { pool: "red".into(), priority: 0, attempts: 3, stretch_percent: 160, target_ms: 600 }
 }
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -10,9 +10,10 @@
 use rattanfall_jobs::record::Entry;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::link::Link;
+use super::peers::{Peer, PeerFault};
 use super::workers::Worker;
 
 /// Processing time of the store.
@@ -36,6 +37,9 @@
 /// Maximum size of an append in bytes.
 pub(super) const MAX_APPEND_BYTES: usize = 2_000;
 
+/// Waiting work from which the store refuses an append.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(2);
+
 /// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Fault {
@@ -49,6 +53,8 @@
     LoseFirstAnswers,
     /// Appends to the intake are executed seconds later, without an answer.
     DelayIntake,
+    /// Appends are executed, and this many of 100 get no answer.
+    LoseShare(u32),
     /// Calls are neither executed nor answered.
     Unavailable,
 }
@@ -87,6 +93,22 @@
     /// Next call that fails.
     pub(super) defect: Option<Defect>,
     pub(super) logs: BTreeMap<Topic, Log>,
+    /// Time of an append. Appends to a topic are carried out one after the other.
+    pub(super) append_time: Duration,
+    /// Times at which the appends to each topic so far are done.
+    pub(super) busy: BTreeMap<Topic, Instant>,
+    /// Maximum size of an append in bytes.
+    pub(super) append_bytes: usize,
+    /// Appends to the intake that reached the store.
+    pub(super) intake_appends: usize,
+    /// Processes of which all appends are refused.
+    pub(super) refused: BTreeSet<String>,
+    /// State of the generator that selects lost answers.
+    pub(super) losses: u32,
+    pub(super) peers: BTreeMap<String, Peer>,
+    pub(super) peer_fault: PeerFault,
+    /// Calls that forward records.
+    pub(super) forwards: usize,
     /// Maximum size of the records in a page, in bytes.
     pub(super) page_bytes: usize,
     pub(super) groups: BTreeMap<Group, Members>,
@@ -111,6 +133,31 @@
         }
     }
 
+    /// Begins an append that takes time. Returns when it is done; none if too much work waits.
+    fn reserve(&mut self, topic: Topic) -> Option<Instant> {
+        let now = Instant::now();
+        let start = self.busy.get(&topic).map_or(now, |busy| now.max(*busy));
+        if start > now + MAX_QUEUE_TIME {
+            return None;
+        }
+        let end = start + self.append_time;
+        self.busy.insert(topic, end);
+        Some(end)
+    }
+
+    /// True if the answer to an append is lost.
+    fn loses(&mut self, is_new: bool) -> bool {
+        match self.fault {
+            Fault::LoseAnswers => true,
+            Fault::LoseFirstAnswers => is_new,
+            Fault::LoseShare(percent) => {
+                self.losses = self.losses.wrapping_mul(1_103_515_245).wrapping_add(12_345);
+                (self.losses >> 16) % 100 < percent
+            }
+            _ => false,
+        }
+    }
+
     /// Members of a group after removing those whose time to live is over.
     fn live_members(&mut self, group: Group) -> &mut Members {
         let now = Instant::now();
@@ -234,6 +281,38 @@
         self.link.answer(bytes).await;
     }
 
+    /// Carries out an append, after those to the topic that came before, also if the caller gives up.
+    async fn execute(
+        &self,
+        topic: Topic,
+        entries: &[Entry],
+        fence: Option<Fence>,
+        at: Option<u64>,
+    ) -> Result<(Result<u64, StoreError>, bool), StoreError> {
+        let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
+        let append = move |entries: &[Entry]| {
+            let mut shared = shared.borrow_mut();
+            let log = shared.logs.entry(topic).or_default();
+            let before = log.entries.len();
+            let result = log.append(entries, fence, at);
+            let is_new = log.entries.len() > before;
+            if result.is_ok() {
+                appended.notify_waiters();
+            }
+            (result, is_new)
+        };
+        if self.shared.borrow().append_time.is_zero() {
+            return Ok(append(entries));
+        }
+        let Some(end) = self.shared.borrow_mut().reserve(topic) else { return Err(StoreError::Refused) };
+        let entries = entries.to_vec();
+        let done = spawn_local(async move {
+            sleep_until(end).await;
+            append(&entries)
+        });
+        done.await.map_err(|_| StoreError::Unknown)
+    }
+
     /// Appends records to the intake some time later.
     fn append_late(&self, entries: Vec<Entry>) {
         let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
@@ -312,7 +391,13 @@
     ) -> Result<u64, StoreError> {
         let call = async {
             self.request(true).await?;
-            if entries.iter().map(Entry::size).sum::<usize>() > MAX_APPEND_BYTES {
+            if topic == Topic::Intake {
+                self.shared.borrow_mut().intake_appends += 1;
+            }
+            let size = entries.iter().map(Entry::size).sum::<usize>();
+            let is_refused =
+                |shared: &SharedState| size > shared.append_bytes || shared.refused.contains(&self.name);
+            if is_refused(&self.shared.borrow()) {
                 return Err(StoreError::Refused);
             }
             match topic {
@@ -324,20 +409,9 @@
                 self.append_late(entries.to_vec());
                 std::future::pending::<()>().await;
             }
-            let (result, is_new) = {
-                let mut shared = self.shared.borrow_mut();
-                let log = shared.logs.entry(topic).or_default();
-                let before = log.entries.len();
-                let result = log.append(entries, fence, at);
-                (result, log.entries.len() > before)
-            };
-            if result.is_ok() {
-                self.appended.notify_waiters();
-                let fault = self.shared.borrow().fault;
-                let first = is_new && fence.is_some();
-                if fault == Fault::LoseAnswers || fault == Fault::LoseFirstAnswers && first {
-                    std::future::pending::<()>().await;
-                }
+            let (result, is_new) = self.execute(topic, entries, fence, at).await?;
+            if result.is_ok() && self.shared.borrow_mut().loses(is_new && fence.is_some()) {
+                std::future::pending::<()>().await;
             }
             self.answer(ANSWER_OVERHEAD_BYTES).await;
             result
