--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::link::Link;
+use super::peers::{Peer, PeerFault};
 use super::workers::Worker;
 
 /// Processing time of the store.
@@ -40,6 +41,9 @@
 /// Maximum size of an append in bytes.
 pub(super) const MAX_APPEND_BYTES: usize = 2_000;
 
+/// Waiting work from which the store refuses an append.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(2);
+
 /// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Fault {
@@ -59,6 +63,8 @@
     DelayIntake,
     /// Appends to the reports are executed seconds later, without an answer, if their condition still holds.
     DelayReports,
+    /// Appends are executed, and this many of 100 get no answer.
+    LoseShare(u32),
     /// Calls are neither executed nor answered.
     Unavailable,
 }
@@ -101,6 +107,22 @@
     /// Next call that fails.
     pub(super) defect: Option<Defect>,
     pub(super) logs: BTreeMap<Topic, Log>,
+    /// Time of an append. Appends to a topic are carried out one after the other.
+    pub(super) append_time: Duration,
+    /// Times at which the appends to each topic so far are done.
+    pub(super) busy: BTreeMap<Topic, Instant>,
+    /// Maximum size of an append in bytes.
+    pub(super) append_bytes: usize,
+    /// Appends to the intake that reached the store.
+    pub(super) intake_appends: usize,
+    /// Processes of which all appends are refused.
+    pub(super) refused: BTreeSet<String>,
+    /// State of the generator that selects lost answers.
+    pub(super) losses: u32,
+    pub(super) peers: BTreeMap<String, Peer>,
+    pub(super) peer_fault: PeerFault,
+    /// Calls that forward records.
+    pub(super) forwards: usize,
     /// Maximum size of the records in a page, in bytes.
     pub(super) page_bytes: usize,
     pub(super) groups: BTreeMap<Group, Members>,
@@ -127,6 +149,31 @@
         }
     }
 
+    /// Begins an append that takes time. Returns when it is done; none if too much work waits.
+    fn reserve(&mut self, topic: Topic) -> Option<Instant> {
+        let now = Instant::now();
+        let start = self.busy.get(&topic).map_or(now, |busy| now.max(*busy));
+        if start > now + MAX_QUEUE_TIME {
+            return None;
+        }
+        let end = start + self.append_time;
+        self.busy.insert(topic, end);
+        Some(end)
+    }
+
+    /// True if the answer to an append is lost.
+    fn loses(&mut self, is_new: bool) -> bool {
+        match self.fault {
+            Fault::LoseAnswers => true,
+            Fault::LoseFirstAnswers => is_new,
+            Fault::LoseShare(percent) => {
+                self.losses = self.losses.wrapping_mul(1_103_515_245).wrapping_add(12_345);
+                (self.losses >> 16) % 100 < percent
+            }
+            _ => false,
+        }
+    }
+
     /// Members of a group after removing those whose time to live is over.
     fn live_members(&mut self, group: Group) -> &mut Members {
         let now = Instant::now();
@@ -250,6 +297,38 @@
         self.link.answer(bytes).await;
     }
 
+    /// Carries out an append, after those to the topic that came before, also if the caller gives up.
+    async fn execute(
+        &self,
+        topic: Topic,
+        entries: &[Entry],
+        fence: Option<Fence>,
+        at: Option<u64>,
+    ) -> Result<(Result<u64, StoreError>, bool), StoreError> {
+        let (shared, appended) = (Rc::clone(&self.shared), Rc::clone(&self.appended));
+        let append = move |entries: &[Entry]| {
+            let mut shared = shared.borrow_mut();
+            let log = shared.logs.entry(topic).or_default();
+            let before = log.entries.len();
+            let result = log.append(entries, fence, at);
+            let is_new = log.entries.len() > before;
+            if result.is_ok() {
+                appended.notify_waiters();
+            }
+            (result, is_new)
+        };
+        if self.shared.borrow().append_time.is_zero() {
+            return Ok(append(entries));
+        }
+        let Some(end) = self.shared.borrow_mut().reserve(topic) else { return Err(StoreError::Refused) };
+        let entries = entries.to_vec();
+        let done = spawn_local(async move {
+            sleep_until(end).await;
+            append(&entries)
+        });
+        done.await.map_err(|_| StoreError::Unknown)
+    }
+
     /// True for four of five answers.
     fn loses_most(&self) -> bool {
         let mut shared = self.shared.borrow_mut();
@@ -348,7 +427,13 @@
     ) -> Result<u64, StoreError> {
         let call = async {
             self.request(true).await?;
-            if entries.iter().map(Entry::size).sum::<usize>() > MAX_APPEND_BYTES {
+            if topic == Topic::Intake {
+                self.shared.borrow_mut().intake_appends += 1;
+            }
+            let size = entries.iter().map(Entry::size).sum::<usize>();
+            let is_refused =
+                |shared: &SharedState| size > shared.append_bytes || shared.refused.contains(&self.name);
+            if is_refused(&self.shared.borrow()) {
                 return Err(StoreError::Refused);
             }
             match topic {
@@ -368,26 +453,14 @@
             if slow {
                 self.wait_turn(topic).await;
             }
-            let (result, is_new) = {
-                let mut shared = self.shared.borrow_mut();
-                let log = shared.logs.entry(topic).or_default();
-                let before = log.entries.len();
-                let result = log.append(entries, fence, at);
-                (result, log.entries.len() > before)
+            let (result, is_new) = self.execute(topic, entries, fence, at).await?;
+            let fenced = fence.is_some();
+            let loses = || {
+                self.shared.borrow_mut().loses(is_new && fenced)
+                    || fault == Fault::LoseMostAnswers && fenced && self.loses_most()
             };
-            if result.is_ok() {
-                self.appended.notify_waiters();
-                let fault = self.shared.borrow().fault;
-                let first = is_new && fence.is_some();
-                let lost = match fault {
-                    Fault::LoseAnswers => true,
-                    Fault::LoseFirstAnswers => first,
-                    Fault::LoseMostAnswers => fence.is_some() && self.loses_most(),
-                    _ => false,
-                };
-                if lost {
-                    std::future::pending::<()>().await;
-                }
+            if result.is_ok() && loses() {
+                std::future::pending::<()>().await;
             }
             if slow {
                 sleep(SLOW_LATENCY).await;
