Wait for the calls of a former epoch before a machine gets an order

After a takeover by the same instance, a machine got its next order 1 s later, while a call to the API of the machines may take 1.5 s. Where fences aren't checked, an order with a lower token could follow one with a higher one (ONE).

machine_orders::the_next_epoch_of_an_instance_waits_for_the_calls_of_the_former_one failed before: three orders within 1.5 s of the takeover.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -35,8 +35,8 @@
 /// Time after which the list of machines surely shows a worker that the directory shows, in milliseconds.
 const LIST_DELAY_MS: u64 = 1_000;
 /// Time for which a machine gets no order if the previous process of this instance gave it one, in
-/// milliseconds. That order has been carried out by then and shows in the list.
-const OWN_HANDOVER_MS: u64 = 1_000;
+/// milliseconds. Calls of that process to the machines have ended by then, and their effects show in the list.
+const OWN_HANDOVER_MS: u64 = 1_600;
 /// Time for which a machine gets no order after it was busy, in milliseconds.
 const BUSY_BACKOFF_MS: u64 = 800;
 /// Time for which a machine gets no order after one was refused, in milliseconds.
--- a/crates/jobs/tests/machine_orders.rs
+++ b/crates/jobs/tests/machine_orders.rs
@@ -419,3 +419,22 @@
     assert_eq!(world.starts.len(), former + 4, "{:?}", world.starts);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against an order with a higher fencing token that is carried out before one of the former epoch of the same process, whose
+/// call is still under way.
+#[test]
+fn the_next_epoch_of_an_instance_waits_for_the_calls_of_the_former_one() {
+    let mut world = world(1, 0);
+    world.take_over_as("node1");
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.plan_wave(&["red-00"], 2, 5_000);
+    run_until(&mut world, "order", |world| world.machine_orders == 1);
+    world.take_over_as("node1");
+    world.pass_waves();
+    run_checked(&mut world, 1_500);
+    assert_eq!(world.machine_orders, 1);
+    world.machine_fault = None;
+    run_checked(&mut world, 10_000);
+    assert_eq!(world.upkeeps.len(), 1);
+}
