Drop lists and directory pages that were requested in a former epoch

A process that claimed the ownership again applied a list of machines that it had requested in its former epoch as the first one of the new epoch, and gave orders on it.

wave_records::a_list_that_was_requested_in_a_former_epoch_does_not_count failed before: an upkeep was ordered on such a list.

--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -129,7 +129,7 @@
             };
             match page {
                 Ok(page) => {
-                    self.apply_worker_records(&page, next.is_none());
+                    self.apply_worker_records(epoch, &page, next.is_none());
                     next = Some(page.next);
                     sleep(self.options.directory_interval).await;
                 }
@@ -139,10 +139,11 @@
         }
     }
 
-    fn apply_worker_records(&self, page: &Page, initial: bool) {
+    /// Applies a page that was requested in an epoch, if this node is still the owner in it.
+    fn apply_worker_records(&self, epoch: u64, page: &Page, initial: bool) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let Some(dispatcher) = state.dispatcher() else { return };
+        let Some(dispatcher) = state.dispatcher().filter(|d| d.epoch() == epoch) else { return };
         let mut present = BTreeSet::new();
         for (_, entry) in &page.entries {
             if entry.value.is_empty() {
@@ -176,13 +177,14 @@
     pub(super) async fn follow_machines(self: Rc<Self>) {
         loop {
             let asked = self.now();
-            let wanted = self.state.borrow_mut().dispatcher().is_some_and(|d| d.needs_machine_list(asked));
-            if wanted && let Some(machines) = self.platform.machines().list().await {
-                let now = self.now();
-                if let Some(dispatcher) = self.state.borrow_mut().dispatcher() {
-                    dispatcher.set_machines(now, asked, machines);
-                }
-                self.owner_wakeup.notify_one();
+            let wanted = {
+                let mut state = self.state.borrow_mut();
+                state.dispatcher().filter(|d| d.needs_machine_list(asked)).map(|d| d.epoch())
+            };
+            if let Some(epoch) = wanted
+                && let Some(machines) = self.platform.machines().list().await
+            {
+                self.notify_dispatcher(epoch, |d, now| d.set_machines(now, asked, machines));
             }
             sleep(MACHINES_CHECK_INTERVAL).await;
         }
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -219,7 +219,7 @@
     }
 
     /// Passes an event to the scheduler if this node is still the owner in the same epoch.
-    fn notify_dispatcher(&self, epoch: u64, event: impl FnOnce(&mut Dispatcher, u64)) {
+    pub(super) fn notify_dispatcher(&self, epoch: u64, event: impl FnOnce(&mut Dispatcher, u64)) {
         let now = self.now();
         if let Some(dispatcher) = self.state.borrow_mut().dispatcher().filter(|d| d.epoch() == epoch) {
             event(dispatcher, now);
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -207,6 +207,11 @@
         self.shared.borrow_mut().upkeep_delays.extend(delays);
     }
 
+    /// Delays the answers to the next lists of machines, without end where there is no time.
+    pub(crate) fn delay_lists(&self, delays: &[Option<Duration>]) {
+        self.shared.borrow_mut().list_delays.extend(delays);
+    }
+
     /// Machines that got orders for upkeep in a wave.
     pub(crate) fn upkeeps(&self, number: u64) -> Vec<String> {
         let shared = self.shared.borrow();
--- a/crates/jobs/tests/platform/mod.rs
+++ b/crates/jobs/tests/platform/mod.rs
@@ -56,6 +56,9 @@
             if entry.value.is_empty() {
                 return Ok(Some(Instruction::EndWave(number)));
             }
+            if entry.value == [255] {
+                return Err(InvalidRecord { key: entry.key.clone(), reason: "as the test demands".into() });
+            }
             let machines = entry.value.iter().map(|index| format!("m-worker-{index}")).collect();
             return Ok(Some(Instruction::Maintain(Wave { number, machines, within_ms: 5_000, most: 3 })));
         }
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -99,6 +99,8 @@
     pub(super) duplicate_starts: usize,
     /// Delays of the answers to the next orders for upkeep; none if there is no answer.
     pub(super) upkeep_delays: VecDeque<Option<Duration>>,
+    /// Delays of the answers to the next lists of machines; none if there is no answer.
+    pub(super) list_delays: VecDeque<Option<Duration>>,
     /// Orders for upkeep: number of the wave, and machine.
     pub(super) upkeeps: Vec<(u64, String)>,
     /// Time of the last order for upkeep of each machine.
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -126,20 +126,14 @@
 
 impl Machines for MemoryPlatform {
     async fn list(&self) -> Option<Vec<Machine>> {
-        let shared = self.shared.borrow();
-        let machines = shared.workers.keys().map(|id| {
-            let name = format!("m-{id}");
-            let maintained = shared.maintained.get(&name).is_some_and(|at| at.elapsed() < UPKEEP_TIME);
-            Machine {
-                name,
-                pool: "red".into(),
-                state: if maintained { MachineState::Upkeep } else { MachineState::Up },
-                zone: "zone-a".into(),
-                labels: Vec::new(),
-                worker: Some(id.clone()),
-            }
-        });
-        Some(machines.collect())
+        let delay = self.shared.borrow_mut().list_delays.pop_front();
+        let machines = self.machine_list();
+        match delay {
+            Some(Some(delay)) => sleep(delay).await,
+            Some(None) => std::future::pending().await,
+            None => {}
+        }
+        Some(machines)
     }
 
     async fn move_to(&self, _: &str, _: &str, _: u64) -> MachineOutcome {
@@ -161,3 +155,22 @@
         MachineOutcome::Taken
     }
 }
+
+impl MemoryPlatform {
+    fn machine_list(&self) -> Vec<Machine> {
+        let shared = self.shared.borrow();
+        let machines = shared.workers.keys().map(|id| {
+            let name = format!("m-{id}");
+            let maintained = shared.maintained.get(&name).is_some_and(|at| at.elapsed() < UPKEEP_TIME);
+            Machine {
+                name,
+                pool: "red".into(),
+                state: if maintained { MachineState::Upkeep } else { MachineState::Up },
+                zone: "zone-a".into(),
+                labels: Vec::new(),
+                worker: Some(id.clone()),
+            }
+        });
+        machines.collect()
+    }
+}
--- a/crates/jobs/tests/wave_records.rs
+++ b/crates/jobs/tests/wave_records.rs
@@ -147,3 +147,20 @@
     })
     .await;
 }
+
+/// Guards against orders to machines on a list that was requested in a former epoch of the same process.
+#[tokio::test(start_paused = true)]
+async fn a_list_that_was_requested_in_a_former_epoch_does_not_count() {
+    Cluster::run(1, |cluster| async move {
+        cluster.delay_lists(&[Some(Duration::from_secs(6)), None]);
+        cluster.run_for(1_500).await;
+        let claims = cluster.claim_count();
+        cluster.compact();
+        cluster.run_for(3_000).await;
+        assert!(cluster.claim_count() > claims, "there is no new epoch");
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(2 * WAVE_MS).await;
+        assert_eq!(cluster.upkeeps(1), Vec::<String>::new());
+    })
+    .await;
+}
