Keep a wave whose newest record can't be decoded after a reload

A record that can't be decoded leaves the one before in force, but a load of the operators' topic dropped the wave with its progress. The known record now stays in force.

wave_records::a_wave_whose_newest_record_cannot_be_decoded_stays_in_force_after_a_reload failed before: the wave stayed shown as running.

--- a/crates/jobs/src/node/follow.rs
+++ b/crates/jobs/src/node/follow.rs
@@ -12,7 +12,7 @@
 
 use super::Node;
 use super::state::{Cursor, State, page_as_of};
-use crate::dispatch::event::WorkerRecord;
+use crate::dispatch::event::{WaveRecord, WorkerRecord};
 use crate::ports::{Instruction, InvalidRecord, Machines, Page, Platform, Store, StoreError, Topic};
 use crate::record::Entry;
 
@@ -62,7 +62,7 @@
         }
         for (offset, entry) in &page.entries {
             if state.operator.next.is_none_or(|next| *offset >= next) || initial {
-                self.apply_instruction(&mut state, *offset, entry);
+                self.apply_instruction(&mut state, *offset, entry, &former);
             }
         }
         // A load shows only the newest record, so a wave may have been removed between two of its records.
@@ -82,7 +82,14 @@
         }
     }
 
-    fn apply_instruction(&self, state: &mut State, offset: u64, entry: &Entry) {
+    /// Applies an operator's record. A wave of `former`, whose newest record can't be decoded, stays in force.
+    fn apply_instruction(
+        &self,
+        state: &mut State,
+        offset: u64,
+        entry: &Entry,
+        former: &BTreeMap<u64, WaveRecord>,
+    ) {
         match self.platform.instruction(entry) {
             Ok(Some(Instruction::Configure(catalog))) => {
                 if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
@@ -99,11 +106,16 @@
                 log::info!(zone = zone.as_str(); "tasks may start in the availability zone again");
                 state.evacuated.remove(&zone);
             }
-            Ok(Some(Instruction::Maintain(wave))) => state.set_wave(offset, wave),
+            Ok(Some(Instruction::Maintain(wave))) => {
+                state.wave_keys.insert(entry.key.clone(), wave.number);
+                state.set_wave(offset, wave);
+            }
             Ok(Some(Instruction::EndWave(number))) => state.remove_wave(offset, number),
             Ok(None) => {}
             Err(invalid) => {
                 log::warn!(key = invalid.key.as_str(), why = invalid.reason.as_str(); "an operator record cannot be decoded");
+                let kept = state.wave_keys.get(&entry.key).and_then(|number| former.get(number)).cloned();
+                state.waves.extend(kept.map(|record| (record.plan.number, record)));
             }
         }
     }
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -98,6 +98,8 @@
     pub(super) evacuated: BTreeSet<String>,
     /// Operators' records of waves, by number.
     pub(super) waves: BTreeMap<u64, WaveRecord>,
+    /// Numbers of the waves that records of the operators were about, by key.
+    pub(super) wave_keys: BTreeMap<String, u64>,
     pub(super) operator: Cursor,
     /// States of jobs, from which callers are answered unless this node is the owner.
     pub(super) summaries: Summaries,
--- a/crates/jobs/tests/wave_records.rs
+++ b/crates/jobs/tests/wave_records.rs
@@ -164,3 +164,18 @@
     })
     .await;
 }
+
+/// Guards against a wave that is dropped by a load of the topic, since its newest record can't be decoded.
+#[tokio::test(start_paused = true)]
+async fn a_wave_whose_newest_record_cannot_be_decoded_stays_in_force_after_a_reload() {
+    Cluster::run(1, |cluster| async move {
+        cluster.delay_upkeeps(&[Some(Duration::from_secs(3))]);
+        cluster.write_wave(1, &[0]);
+        cluster.run_for(500).await;
+        cluster.write_wave(1, &[255]);
+        cluster.compact_topic(Topic::Operator);
+        cluster.run_for(2 * WAVE_MS).await;
+        assert_eq!(cluster.reports(1).last(), Some(&true), "{:?}", cluster.reports(1));
+    })
+    .await;
+}
