Keep the deadline of a wave whose record is written again

A new owner took a record with another offset for a changed one, even if its content was the same, and counted the time of the wave afresh. The progress now has a digest of the content.

waves::a_record_that_is_written_again_around_a_takeover_keeps_its_deadline failed before: first seen 3 s later. The test of the format of the progress also reads the one without the digest.

--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -145,7 +145,7 @@
 }
 
 /// Request of the operators to maintain a set of machines.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Wave {
     /// Unique number.
     pub number: u64,
--- a/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/upkeep.rs
@@ -2,6 +2,7 @@
 //! on running tasks first.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +34,8 @@
     pub offset: Option<u64>,
     /// Machines that turned out not to belong to the wave.
     pub excluded: BTreeSet<String>,
+    /// Digest of the record's content; none if an earlier release stored it.
+    pub digest: Option<u64>,
 }
 
 /// Wave with its deadline and the state that was published.
@@ -85,13 +88,14 @@
             return;
         }
         let stored = self.table.waves.entry(number).or_default();
-        let former = stored.offset;
+        let (former, former_digest) = (stored.offset, stored.digest);
         // A former owner has read a newer record.
         if former.is_some_and(|offset| offset > record.offset) {
             return;
         }
         stored.offset = Some(record.offset);
-        if former != stored.offset {
+        stored.digest = Some(digest(&record.plan));
+        if (former, former_digest) != (stored.offset, stored.digest) {
             self.dirty_waves.insert(number);
         }
         let removed = former.is_some_and(|offset| offset < record.since);
@@ -102,7 +106,8 @@
         if removed {
             stored.begun.clear();
         }
-        if former.is_some_and(|offset| offset != record.offset) || stored.seen_ms == 0 {
+        let changed = former.is_some_and(|offset| offset != record.offset) && former_digest != stored.digest;
+        if removed || changed || stored.seen_ms == 0 {
             stored.seen_ms = unix;
             stored.excluded.clear();
         }
@@ -304,3 +309,10 @@
         );
     }
 }
+
+/// Digest of a record's content. Another release may compute another one for the same content.
+fn digest(plan: &event::Wave) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    plan.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -139,6 +139,22 @@
     PartDropped(PartId),
 }
 
+/// Progress of a wave without the field that later releases append. Earlier releases ignore it.
+#[derive(Deserialize)]
+struct FormerWave {
+    seen_ms: u64,
+    begun: BTreeSet<String>,
+    offset: Option<u64>,
+    excluded: BTreeSet<String>,
+}
+
+impl From<FormerWave> for WaveProgress {
+    fn from(wave: FormerWave) -> Self {
+        let FormerWave { seen_ms, begun, offset, excluded } = wave;
+        Self { seen_ms, begun, offset, excluded, digest: None }
+    }
+}
+
 /// Progress of a wave without the fields that later releases append. Earlier releases ignore these.
 #[derive(Deserialize)]
 struct ShortWave {
@@ -153,10 +169,13 @@
 }
 
 fn decode_wave(bytes: &[u8]) -> Result<WaveProgress, BadRecord> {
+    let ends =
+        |error: &BadRecord| matches!(error, BadRecord::Content(postcard::Error::DeserializeUnexpectedEnd));
     match decode(bytes) {
-        Err(BadRecord::Content(postcard::Error::DeserializeUnexpectedEnd)) => {
-            decode::<ShortWave>(bytes).map(WaveProgress::from)
-        }
+        Err(error) if ends(&error) => match decode::<FormerWave>(bytes) {
+            Err(error) if ends(&error) => decode::<ShortWave>(bytes).map(WaveProgress::from),
+            wave => wave.map(WaveProgress::from),
+        },
         wave => wave,
     }
 }
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -213,10 +213,17 @@
     assert_eq!(read, Change::Wave(3, expected));
 
     let excluded = [ALL[3].to_owned()].into();
-    let progress = WaveProgress { seen_ms: 7, begun, offset: Some(9), excluded };
+    let progress = WaveProgress { seen_ms: 7, begun, offset: Some(9), excluded, ..WaveProgress::default() };
     let entry = wave(3, &progress);
     assert_eq!(postcard::from_bytes::<FormerProgress>(&entry.value[1..]), Ok(former));
+    let without_digest = (7_u64, &progress.begun, Some(9_u64), &progress.excluded);
+    let value = postcard::to_extend(&without_digest, vec![1]).expect("it can be encoded");
+    let read = read_change(&Entry { key: "wave/3".into(), value }).expect("it can be decoded");
+    assert_eq!(read, Change::Wave(3, progress.clone()));
     assert_eq!(read_change(&entry).expect("it can be decoded"), Change::Wave(3, progress));
+    let digested = WaveProgress { digest: Some(5), ..WaveProgress::default() };
+    let read = read_change(&wave(3, &digested)).expect("it can be decoded");
+    assert_eq!(read, Change::Wave(3, digested));
 }
 
 /// Guards against upkeep that is repeated after the update of a release, which stored no offsets.
@@ -563,3 +570,20 @@
     world.run_for(1_000);
     assert_eq!(world.published.get(&1), Some(&true));
 }
+
+/// Guards against a later deadline of a wave whose record is written again, with the same content, around a takeover.
+#[test]
+fn a_record_that_is_written_again_around_a_takeover_keeps_its_deadline() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.write_wave(1, &ALL, 1, 25_000);
+    world.run_for(3_000);
+    let seen_ms = world.dispatcher.table.waves[&1].seen_ms;
+    world.take_over();
+    world.write_wave(1, &ALL, 1, 25_000);
+    world.run_for(500);
+    assert_eq!(world.dispatcher.table.waves[&1].seen_ms, seen_ms);
+    world.take_over();
+    world.write_wave(1, &ALL, 1, 20_000);
+    assert!(world.dispatcher.table.waves[&1].seen_ms > seen_ms);
+}
