--- a/crates/entry/src/forward/client.rs
+++ b/crates/entry/src/forward/client.rs
@@ -20,14 +20,14 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::{MAX_CONNECTION_CALLS, frame_bytes};
+use super::{MAX_CONNECTION_CALLS, MAX_WAIT, frame_bytes};
 use crate::rpc::with_timeout;
 use crate::upstreams::socket::{Socket, WeakSocket, limit_delivery_time};
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of the hello, which a busy receiver answers late.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a call waits beyond the receiver's time to store the records.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Time after which an idle connection is not used again. Less than the receiver's, which closes it.
@@ -139,8 +139,9 @@
 impl Call<'_> {
     async fn send(mut self, entries: &[Entry], wait: Duration) -> Result<Forwarded, CallError> {
         let records = entries.iter().map(Record::from).collect();
+        let wait = wait.min(MAX_WAIT);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let limit = wait.saturating_add(ANSWER_MARGIN);
+        let limit = wait + ANSWER_MARGIN;
         let call = self.link.client.forward(with_timeout(limit), records, wait_ms);
         let outcome = timeout(limit, call).await??;
         let outcome = outcome.map_err(|ForwardError::Version { ours }| CallError::Version(ours))?;
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -4,11 +4,15 @@
 mod server;
 mod transport;
 
+use std::time::Duration;
+
 pub use client::ForwardClient;
 pub use server::{ForwardServer, Limits};
 
 /// Maximum number of calls on a connection at once.
 const MAX_CONNECTION_CALLS: usize = 32;
+/// Maximum time in which records are to be stored; a longer one is reduced to it.
+const MAX_WAIT: Duration = Duration::from_secs(60);
 /// Bytes of a message beyond its records.
 const HEAD_BYTES: usize = 1 << 10;
 
--- a/crates/entry/src/forward/server.rs
+++ b/crates/entry/src/forward/server.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::transport::{Bounds, Transport};
-use super::{MAX_CONNECTION_CALLS, frame_bytes};
+use super::{MAX_CONNECTION_CALLS, MAX_WAIT, frame_bytes};
 use crate::upstreams::socket::limit_delivery_time;
 
 /// Time limit of answering open calls when the server is closed.
@@ -186,7 +186,8 @@
 
     async fn forward(self, _: Context, records: Vec<Record>, wait_ms: u64) -> Result<Outcome, ForwardError> {
         self.require_hello()?;
-        let outcome = self.store(records, Duration::from_millis(wait_ms)).await;
+        let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
+        let outcome = self.store(records, wait).await;
         self.shared.handle.meters.forward_received(outcome);
         Ok(outcome.into())
     }
--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -339,6 +339,24 @@
     assert!(calls.try_recv().is_err());
 }
 
+/// Guards against a time that exceeds the range of the node's clock.
+#[tokio::test]
+async fn a_long_wait_is_reduced() {
+    let Receiver { address, mut calls, server: _server, .. } = receiver(Limits::new(CALL_BYTES)).await;
+    let raw = raw_client(address).await;
+    raw.hello(context(), hello(FORWARD_VERSION)).await.expect("an answer").expect("the version is known");
+    let records = entries(10).iter().map(Record::from).collect();
+    let node = answer(&mut calls, |_, wait| {
+        assert_eq!(wait, Duration::from_secs(60));
+        Forwarded::Stored
+    });
+    let (stored, ()) = tokio::join!(raw.forward(context(), records, u64::MAX), node);
+    assert_eq!(stored.expect("an answer"), Ok(Outcome::Stored));
+    let (client, sent) = (client(), entries(10));
+    let node = answer(&mut calls, |_, _| Forwarded::Stored);
+    assert_eq!(tokio::join!(client.forward(address, &sent, Duration::MAX), node).0, Forwarded::Stored);
+}
+
 /// Sends two calls of which the node answers none until the second is refused.
 async fn second_call_is_refused(limits: Limits) {
     let Receiver { address, mut calls, server: _server, .. } = receiver(limits).await;
