End the connection of forwarded records after 1 s without delivery

Cause: a connection behind a cut ended only after 2 s or with the time of a call, so a caller learned late that the outcome is unknown and that the record may be stored by another way. A field that repeated what the route already says is gone.

--- a/crates/entry/src/forward/client.rs
+++ b/crates/entry/src/forward/client.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -28,6 +27,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of the hello, which a busy receiver answers late.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time within which sent bytes must arrive. It outlasts two retransmissions on a lossy link.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a call waits beyond the receiver's time to store the records.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Time after which an idle connection is not used again. Less than the receiver's, which closes it.
@@ -87,8 +88,6 @@
     /// Maximum size of the records of a call in bytes.
     max_bytes: usize,
     used: Mutex<Instant>,
-    /// A call was not answered.
-    failed: AtomicBool,
 }
 
 impl Drop for Link {
@@ -102,8 +101,7 @@
     fn usable(self: &Arc<Self>) -> bool {
         // The route holds one of the references, each call another one.
         let busy = Arc::strong_count(self) > 1;
-        !self.failed.load(Ordering::Relaxed)
-            && !self.task.is_finished()
+        !self.task.is_finished()
             && (busy || self.used.lock().elapsed() < IDLE_TIMEOUT)
             && self.socket.is_open()
     }
@@ -121,7 +119,6 @@
 
     /// Drops a connection, so that the next call opens another one.
     fn discard(&self, failed: &Arc<Link>) {
-        failed.failed.store(true, Ordering::Relaxed);
         let mut link = self.link.lock();
         if link.as_ref().is_some_and(|link| Arc::ptr_eq(link, failed)) {
             *link = None;
@@ -235,7 +232,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<Link, CallError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        limit_delivery_time(&stream)?;
+        limit_delivery_time(&stream, DELIVERY_TIMEOUT)?;
         let probes = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
         SockRef::from(&stream).set_tcp_keepalive(&probes)?;
         let socket = Socket::new(stream);
@@ -258,7 +255,6 @@
             socket: weak_socket,
             max_bytes: self.max_bytes,
             used: Mutex::new(Instant::now()),
-            failed: AtomicBool::new(false),
         };
         let hello = Hello { version: FORWARD_VERSION, name: self.name.clone() };
         let welcome = timeout(HELLO_TIMEOUT, link.client.hello(with_timeout(HELLO_TIMEOUT), hello)).await??;
--- a/crates/entry/src/forward/server.rs
+++ b/crates/entry/src/forward/server.rs
@@ -22,6 +22,8 @@
 use super::{MAX_CONNECTION_CALLS, MAX_WAIT, frame_bytes};
 use crate::upstreams::socket::limit_delivery_time;
 
+/// Time within which sent answers must arrive.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit of answering open calls when the server is closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay after a connection could not be accepted, for example because there are too many open files.
@@ -232,6 +234,6 @@
 /// Sets the options of an accepted connection. Unlike the sender's, it does not discard answers when it is closed.
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    limit_delivery_time(stream)?;
+    limit_delivery_time(stream, DELIVERY_TIMEOUT)?;
     socket2::SockRef::from(stream).set_linger(None)
 }
--- a/crates/entry/src/upstreams/pool.rs
+++ b/crates/entry/src/upstreams/pool.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread::ThreadId;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use rattanfall_core::engine::DELIVERY_TIMEOUT_MS;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
@@ -101,7 +102,7 @@
         let connect = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            limit_delivery_time(&stream)?;
+            limit_delivery_time(&stream, Duration::from_millis(DELIVERY_TIMEOUT_MS))?;
             let socket = Socket::new(stream);
             let weak_socket = socket.downgrade();
             let (sender, connection) =
--- a/crates/entry/src/upstreams/socket.rs
+++ b/crates/entry/src/upstreams/socket.rs
@@ -8,7 +8,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use rattanfall_core::engine::DELIVERY_TIMEOUT_MS;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -101,8 +100,8 @@
 /// Bounds the time until sent bytes arrive or are discarded: a killed process resets its connections, and the kernel
 /// closes a connection whose bytes are not acknowledged in time. Otherwise a request could reach its worker after the
 /// slot was reclaimed.
-pub(crate) fn limit_delivery_time(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn limit_delivery_time(stream: &TcpStream, limit: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(DELIVERY_TIMEOUT_MS)))
+    socket.set_tcp_user_timeout(Some(limit))
 }
