Spread callers also while the view is old, and use the time of a hurried caller

Nine callers with less time left than the 150 ms that are reserved for the answer got an unknown outcome after 1 ms, because the deadline had passed when the append began.

The delay after which a caller is to repeat follows the age of the view as well. At most half of a caller's time is reserved for the answer.

Failed before: callers_outlast_a_store_that_refuses (all calls), a_caller_with_little_time_is_accepted.

--- a/crates/jobs/src/node/answers.rs
+++ b/crates/jobs/src/node/answers.rs
@@ -17,7 +17,7 @@
 use crate::spec::{BadJob, Submission};
 use crate::table::JobState;
 
-/// Time reserved for an answer to reach the caller before it times out.
+/// Time reserved for an answer to reach the caller before it times out. At most half of the caller's time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum time spent on a call.
 const MAX_CALL_TIME: Duration = Duration::from_secs(10);
@@ -78,7 +78,7 @@
             Err(answer) => return answer,
         };
         let wait = Duration::from_millis(call.wait_ms).min(MAX_CALL_TIME);
-        let deadline = Instant::now() + wait.saturating_sub(ANSWER_MARGIN);
+        let deadline = Instant::now() + wait.saturating_sub(ANSWER_MARGIN.min(wait / 2));
         if rest.is_empty() && call.verb == Verb::Read {
             return self.count_pending(&queue, deadline).await;
         }
@@ -158,7 +158,7 @@
             arrived_ms: unix_ms(),
         };
         if !self.state.borrow().has_fresh_view(Instant::now(), self.options.max_view_age) {
-            return Answer::Refused(Refusal::Stale, STORE_RETRY_S);
+            return Answer::Refused(Refusal::Stale, self.retry_s(id));
         }
         if let Err(bad) = submission.check(self.options.record_bytes) {
             return Answer::Bad(bad);
@@ -195,7 +195,7 @@
         let known = match self.find_job(id, deadline).await {
             Ok(Some(JobState::Canceled)) => return Answer::Canceled,
             Ok(job_state) => job_state.is_some(),
-            Err(refusal) => return Answer::Refused(refusal, STORE_RETRY_S),
+            Err(refusal) => return Answer::Refused(refusal, self.retry_s(id)),
         };
         let stored = self.store_intake(record::canceled(id), deadline).await;
         log::info!(job:% = id, known = known, stored:? = stored; "a job was cancelled");
--- a/crates/jobs/src/node/intake/mod.rs
+++ b/crates/jobs/src/node/intake/mod.rs
@@ -222,7 +222,12 @@
     /// Delay after which the caller of a job is to repeat a refused call, in seconds. During an outage about as long as it
     /// has lasted, different for each caller.
     pub(super) fn retry_s(&self, id: JobId) -> u64 {
-        let outage = self.state.borrow().records.pace.outage(Instant::now());
+        let (outage, view_age) = {
+            let (state, now) = (self.state.borrow(), Instant::now());
+            (state.records.pace.outage(now), state.summary_age(now))
+        };
+        // A store that refuses reads too leaves the view old.
+        let outage = if view_age >= self.options.max_view_age { outage.max(view_age) } else { outage };
         let mean = outage.as_millis().div_ceil(1_000).clamp(RETRY_S.0, RETRY_S.1) as u64;
         mean + id.0 % mean
     }
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -47,6 +47,8 @@
     None,
     /// Appends are refused.
     Refuse,
+    /// Appends and reads are refused.
+    RefuseAll,
     /// Appends are executed without an answer.
     LoseAnswers,
     /// The first answer to each append with a fence is lost.
@@ -269,6 +271,7 @@
         sleep(STORE_TIME).await;
         let fault = self.shared.borrow().fault;
         match fault {
+            Fault::RefuseAll => Err(StoreError::Refused),
             Fault::Refuse if writes => Err(StoreError::Refused),
             Fault::Unavailable => std::future::pending().await,
             _ => Ok(()),
--- a/crates/jobs/tests/slow_store.rs
+++ b/crates/jobs/tests/slow_store.rs
@@ -205,9 +205,12 @@
 }
 
 /// Callers that repeat as they are told outlast a store that refuses for some seconds.
+#[rstest]
+#[case::appends(Fault::Refuse)]
+#[case::all_calls(Fault::RefuseAll)]
 #[tokio::test(start_paused = true)]
-async fn callers_outlast_a_store_that_refuses() {
-    let begin = |cluster: &Cluster| cluster.set_fault(Fault::Refuse);
+async fn callers_outlast_a_store_that_refuses(#[case] fault: Fault) {
+    let begin = move |cluster: &Cluster| cluster.set_fault(fault);
     let (load, _) = play(33, 5.5, 3, begin, |cluster| cluster.set_fault(Fault::None)).await;
     let served = load.served();
     let failed: Vec<&Served> =
@@ -305,6 +308,20 @@
     .await;
 }
 
+/// Guards against an unknown outcome for a caller with little time left while the store is prompt.
+#[tokio::test(start_paused = true)]
+async fn a_caller_with_little_time_is_accepted() {
+    Cluster::run_limited(5, APPEND_BYTES, |cluster| async move {
+        for node in 0..5_usize {
+            let mut hurried = submit(node as u64 + 1, 1);
+            hurried.wait_ms = 60;
+            let answer = cluster.call(node, hurried).await;
+            assert_eq!(answer, Answer::Accepted(JobId(node as u64 + 1)));
+        }
+    })
+    .await;
+}
+
 /// A cancellation is stored while answers are lost.
 #[tokio::test(start_paused = true)]
 async fn a_cancellation_whose_answer_is_lost_is_answered_by_a_read() {
