--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -163,6 +163,8 @@
     last_load: u64,
     /// Time up to which all accepted jobs and cancellations are known.
     intake_until: u64,
+    /// Time at which this owner started, when it had read the intake.
+    begun: u64,
     /// Time up to which all changes are stored.
     settled: u64,
     /// Jobs removed since the last call of [`Self::take_dropped`].
@@ -243,6 +245,7 @@
             last_sweep: 0,
             last_load: 0,
             intake_until: 0,
+            begun: now,
             settled: now,
             dropped: Vec::new(),
             undeleted: Vec::new(),
--- a/crates/jobs/src/dispatch/systems/fleet/demand.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/demand.rs
@@ -36,9 +36,9 @@
 /// Time for which a change may wait for the store before it counts as late, in milliseconds. Several writes of a
 /// store without load.
 const LATE_WRITE_MS: u64 = 250;
-/// Age of the view of the intake from which the store counts as late, in milliseconds. Longer than a read that waits
+/// Age of the view of the intake from which the store counts as late, in milliseconds. Longer than two reads that wait
 /// for a record.
-const LATE_INTAKE_MS: u64 = 1_000;
+const LATE_INTAKE_MS: u64 = 1_500;
 /// Time after which an announced job that isn't stored shows that the store is late, in milliseconds.
 const LATE_JOB_MS: u64 = 300;
 /// Time for which pools keep their machines after the store was last late, in milliseconds. Callers that were refused
@@ -220,10 +220,15 @@
         demand.add(work);
     }
 
+    /// Time since the view of the intake was complete, in milliseconds.
+    fn intake_age(&self, now: u64) -> u64 {
+        now.saturating_sub(self.intake_until.max(self.begun))
+    }
+
     /// True if changes, the intake or announced jobs wait longer than a store without load takes.
     fn store_is_late(&self, now: u64) -> bool {
         now > self.settled + LATE_WRITE_MS
-            || now > self.intake_until + LATE_INTAKE_MS
+            || self.intake_age(now) > LATE_INTAKE_MS
             || self.fleet.announced.late(now)
     }
 
@@ -237,7 +242,7 @@
         if holds && !before {
             log::info!(
                 target: DECISIONS, unstored_ms = now.saturating_sub(self.settled),
-                intake_age_ms = now.saturating_sub(self.intake_until), announced = self.fleet.announced.0.len();
+                intake_age_ms = self.intake_age(now), announced = self.fleet.announced.0.len();
                 "the store is late; pools keep their machines"
             );
         } else if before && !holds {
--- a/crates/jobs/tests/moves.rs
+++ b/crates/jobs/tests/moves.rs
@@ -92,6 +92,28 @@
     assert!(red(&world) < before, "{} machines long after the work", red(&world));
 }
 
+/// Guards against a new owner, or a time without callers, that counts as a store that is late: machines are parked as
+/// soon as in other seconds.
+#[test]
+fn machines_are_parked_while_the_store_is_in_time() {
+    let parked = |unread_ms: Option<u64>| {
+        let mut world = World::with(catalog(), &[("red", 8), ("blue", 8)]);
+        world.run_for(100);
+        if let Some(unread_ms) = unread_ms {
+            world.take_over();
+            world.intake_paused = true;
+            world.run_for(unread_ms);
+            world.intake_paused = false;
+        }
+        while !world.moves.iter().any(|(_, _, pool)| pool == "spare") {
+            world.round();
+        }
+        world.now
+    };
+    let (without, with) = (parked(None), parked(Some(1_400)));
+    assert!(with <= without + 200, "at {with} ms instead of {without} ms");
+}
+
 /// Guards against machines that are paid for without end while the store stays down.
 #[test]
 fn machines_are_held_for_a_limited_time() {
