Serve while answers of workers are late

Cause: a held poll shows its loss after 1,500 ms and then closed its worker until a poll was answered; a start shows its loss after 700 ms, two orders to one worker are under way at most, and three lost starts stopped the run.

Change: the owner measures which share of the requests gets no answer from workers that answer a later one. While it is a tenth or more, polls are held for 120 ms at most, another one is sent beside a poll that is held for longer, answers are waited for as long as they usually take, lost polls and starts are repeated at once within a budget, a run is stopped after ten lost starts, and a worker stays open for 1,500 ms after its last answer although a poll timed out. Starts and leases still need an answer to a poll, and go out no later after it than before.

--- a/crates/jobs/src/dispatch/command/mod.rs
+++ b/crates/jobs/src/dispatch/command/mod.rs
@@ -15,6 +15,8 @@
 /// status.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Poll {
+    /// Number of the poll among those of this owner, from 1.
+    pub number: u64,
     /// Worker to poll.
     pub target: Target,
     /// Epoch of the owner; the worker refuses one that is lower than the highest it has seen.
@@ -27,6 +29,8 @@
     /// Longest time for which the worker may hold the answer until a run ends, in milliseconds; 0 to answer
     /// at once.
     pub wait_ms: u64,
+    /// Time limit of the answer in milliseconds beyond that wait; none for the usual one.
+    pub limit_ms: Option<u64>,
 }
 
 /// Order to start a run of a task.
@@ -48,6 +52,8 @@
     pub deadline_ms: u64,
     /// Ticket of the queue's policy; none if the queue has no policy.
     pub ticket: Option<String>,
+    /// Time limit of the answer in milliseconds; none for the usual one.
+    pub limit_ms: Option<u64>,
 }
 
 /// Order to stop a run. The worker refuses later starts of this run and of earlier ones.
@@ -61,6 +67,8 @@
     pub task: TaskId,
     /// Number of the run within its task.
     pub run: u32,
+    /// Time limit of the answer in milliseconds; none for the usual one.
+    pub limit_ms: Option<u64>,
 }
 
 /// Order to limit a run's share of the processor.
--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -112,6 +112,8 @@
     Deferred,
     /// No answer; the request may be carried out, now or later.
     Unknown,
+    /// No answer within the time limit, on a connection that didn't break; the request may be carried out, now or later.
+    TimedOut,
 }
 
 /// State of a machine.
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -28,8 +28,8 @@
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
 use parts::StoredParts;
-use systems::{Durations, Fleet, PolicyTickets, StaleJobs, Stragglers, Track};
-pub use systems::{PoolLoad, WaveProgress};
+use systems::{Durations, Fleet, Losses, PolicyTickets, StaleJobs, Stragglers, Track};
+pub use systems::{Exclusions, PoolLoad, WaveProgress};
 use worker::{Moment, PollState, Worker, WorkerKey};
 
 /// Sequence number of a write, from 1.
@@ -181,6 +181,7 @@
     wall_clock: u64,
     /// Time at which the store was last known to have no newer owner.
     last_contact: u64,
+    losses: Losses,
     durations: Durations,
     stragglers: Stragglers,
     policy_tickets: PolicyTickets,
@@ -250,6 +251,7 @@
             unix_offset: 0,
             wall_clock: unix_ms,
             last_contact: now,
+            losses: Losses::default(),
             durations: Durations::default(),
             stragglers: Stragglers::default(),
             policy_tickets: PolicyTickets::default(),
--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -268,7 +268,7 @@
         let present: BTreeSet<&str> = rows.filter_map(|row| row.machine.worker.as_deref()).collect();
         let gone = |worker: &Worker| {
             !worker.runs.is_empty()
-                && !worker.responds()
+                && !worker.usable()
                 && worker.known_since + LIST_DELAY_MS < asked
                 && !present.contains(worker.record.worker.as_str())
         };
--- a/crates/jobs/src/dispatch/systems/load.rs
+++ b/crates/jobs/src/dispatch/systems/load.rs
@@ -5,6 +5,7 @@
 
 use super::super::Dispatcher;
 use super::fleet::Goal;
+use crate::DECISIONS;
 
 /// Interval between two log lines about a pool, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
@@ -36,7 +37,58 @@
     pub late: u64,
 }
 
+/// Listed workers of a pool that get no tasks, by the first reason that applies.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Exclusions {
+    /// Workers that drain, are emptied or are in an evacuated availability zone.
+    pub leaving: u64,
+    /// Workers whose present process has not answered a poll with its token.
+    pub unfenced: u64,
+    /// Workers that have not answered.
+    pub silent: u64,
+    /// Workers that refused a start, failed most runs or have a run of unknown size.
+    pub refusing: u64,
+}
+
 impl Dispatcher {
+    /// Workers that get no tasks, for each pool that has some.
+    #[must_use]
+    pub fn exclusions(&self, now: u64) -> BTreeMap<&str, Exclusions> {
+        let mut pools: BTreeMap<&str, Exclusions> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.listed && worker.served) {
+            let evacuated = self.evacuated.contains(&worker.record.zone);
+            if worker.accepts_tasks(now) && !evacuated {
+                continue;
+            }
+            let pool = pools.entry(worker.record.pool.as_str()).or_default();
+            let count = if worker.record.draining || worker.emptying || evacuated {
+                &mut pool.leaving
+            } else if worker.silent {
+                &mut pool.silent
+            } else if worker.excluded_until > now {
+                &mut pool.refusing
+            } else {
+                &mut pool.unfenced
+            };
+            *count += 1;
+        }
+        pools
+    }
+
+    /// Logs why workers get no tasks, for the pools in which some don't answer or refuse starts.
+    fn log_exclusions(&self, now: u64) {
+        for (pool, excluded) in self.exclusions(now) {
+            if excluded.silent + excluded.refusing == 0 {
+                continue;
+            }
+            log::info!(
+                target: DECISIONS, pool = pool, silent = excluded.silent, refusing = excluded.refusing,
+                unfenced = excluded.unfenced, leaving = excluded.leaving, lost_percent = self.losses.percent();
+                "workers of the pool get no tasks"
+            );
+        }
+    }
+
     /// Load of each pool that the catalog names.
     #[must_use]
     pub fn pool_loads(&self, now: u64) -> BTreeMap<&str, PoolLoad> {
@@ -78,6 +130,7 @@
             return;
         }
         self.last_load = now;
+        self.log_exclusions(now);
         for (name, load) in self.pool_loads(now) {
             if load.used == 0 && load.ready == 0 {
                 continue;
--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -17,10 +17,14 @@
 
 /// Starts without an answer after which the run is stopped, unless it is long-running.
 const MAX_START_ATTEMPTS: u32 = 3;
+/// The same while the fleet loses answers, as a stop and its answer get lost as well.
+const MAX_LOSSY_ATTEMPTS: u32 = 10;
 /// Failed connections after which a start that never reached the worker is given up.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
 /// Time until an order without an answer is repeated, in milliseconds.
 const REPEAT_MS: u64 = 150;
+/// The same while the fleet loses answers.
+const LOSSY_REPEAT_MS: u64 = 10;
 /// Time for which a worker that refused a start gets no new tasks, in milliseconds.
 const REFUSAL_BACKOFF_MS: u64 = 400;
 
@@ -43,7 +47,7 @@
         let over = !self.within_limit(task, Resources::default());
         let Some(worker) = self.workers.get_mut(key) else { return };
         let closed = over || worker.record.draining || self.evacuated.contains(&worker.record.zone);
-        let clock = worker.clock_at(at, self.options.poll_wait_ms);
+        let clock = worker.clock_at(at);
         let target = target(worker);
         let Some(run) = worker.runs.get_mut(&task).filter(|run| !run.stopping) else { return };
         if closed && !run.sent {
@@ -81,6 +85,7 @@
             checkpoint,
             deadline_ms: clock + self.options.start_ttl_ms,
             ticket: run.ticket.clone(),
+            limit_ms: self.losses.start_limit_ms(run.unanswered),
         };
         worker.grant(now, self.options.start_ttl_ms);
         self.counters.starts += 1;
@@ -103,11 +108,13 @@
         if outcome == Outcome::Replaced && self.end_replaced(now, key, &start.target, start.token) {
             return;
         }
+        self.note_answer(now, key, start.token, outcome);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let outdated = start.token < worker.token;
+        let usable = worker.usable();
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
         let repeated = run.unanswered > 0;
-        if outcome != Outcome::Unknown {
+        if !matches!(outcome, Outcome::Unknown | Outcome::TimedOut) {
             run.open_starts = run.open_starts.saturating_sub(1);
         }
         match outcome {
@@ -130,22 +137,13 @@
                 run.next_order = Some(now + REPEAT_MS);
                 self.unsettled.insert((key, task));
             }
-            Outcome::Unknown => {
-                self.unsettled.insert((key, task));
-                run.unanswered += 1;
-                run.next_order = Some(now + REPEAT_MS * u64::from(run.unanswered));
-                self.counters.repeats += 1;
-                // A long-running task may be at work by then, and its step may tolerate no stop.
-                if run.unanswered >= MAX_START_ATTEMPTS && !run.long_running {
-                    self.stop_run(now, key, task);
-                }
-            }
+            Outcome::Unknown | Outcome::TimedOut => self.start_unanswered(now, key, task),
             Outcome::Deferred => {
                 self.unsettled.insert((key, task));
                 run.next_order = Some(now + REPEAT_MS);
                 // Nothing was sent to the worker, so there is no answer to wait for.
                 run.sent = repeated || run.confirmed.is_some();
-                if worker.missed_polls > 0 && run.confirmed.is_none() && !repeated {
+                if !usable && run.confirmed.is_none() && !repeated {
                     self.requeue(now, key, task, Evidence::new("the worker does not answer", now));
                 }
             }
@@ -184,6 +182,26 @@
         }
     }
 
+    /// Handles that a start has no answer: the worker's list is asked for it, and it is repeated.
+    fn start_unanswered(&mut self, now: u64, key: WorkerKey, task: TaskId) {
+        let lossy = self.losses.expected();
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if lossy {
+            worker.poll_soon(now);
+        }
+        let Some(run) = worker.runs.get_mut(&task) else { return };
+        self.unsettled.insert((key, task));
+        run.unanswered += 1;
+        let repeat_ms = if lossy { LOSSY_REPEAT_MS } else { REPEAT_MS };
+        run.next_order = Some(now + repeat_ms * u64::from(run.unanswered));
+        self.counters.repeats += 1;
+        let attempts = if lossy { MAX_LOSSY_ATTEMPTS } else { MAX_START_ATTEMPTS };
+        // A long-running task may be at work by then, and its step may tolerate no stop.
+        if run.unanswered >= attempts && !run.long_running {
+            self.stop_run(now, key, task);
+        }
+    }
+
     /// Stops a run. If its start was never sent, it is removed at once.
     pub(super) fn stop_run(&mut self, now: u64, key: WorkerKey, task: TaskId) {
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -196,7 +214,8 @@
         run.stopping = true;
         run.next_order = None;
         run.last_change = now;
-        let stop = Stop { target, token, task, run: run.number };
+        let limit_ms = self.losses.limit_ms(0);
+        let stop = Stop { target, token, task, run: run.number, limit_ms };
         self.counters.stops += 1;
         self.commands.push(Command::Stop(stop));
     }
@@ -214,6 +233,7 @@
             Outcome::Replaced if self.end_replaced(now, key, &stop.target, stop.token) => return,
             _ => {}
         }
+        self.note_answer(now, key, stop.token, outcome);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.number == number) else { return };
         if outcome == Outcome::Taken && !outdated {
@@ -224,6 +244,21 @@
         }
     }
 
+    /// Records whether a worker answered an order with a token.
+    fn note_answer(&mut self, now: u64, key: WorkerKey, token: u64, outcome: Outcome) {
+        let at = self.moment(now);
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        match outcome {
+            Outcome::Unknown | Outcome::TimedOut => worker.unanswered = worker.unanswered.saturating_add(1),
+            Outcome::Unsent | Outcome::Deferred | Outcome::Replaced | Outcome::Fenced => {}
+            _ if token == worker.token => {
+                worker.heard = Some(at);
+                self.losses.record(now, worker.take_unanswered());
+            }
+            _ => {}
+        }
+    }
+
     /// Counts the runs of a worker as lost, since another worker has the address to which an order was sent. False if the
     /// worker has restarted or has another address by now, so that the answer proves nothing.
     fn end_replaced(&mut self, now: u64, key: WorkerKey, sent: &Target, token: u64) -> bool {
--- a/crates/jobs/src/dispatch/systems/placing/mod.rs
+++ b/crates/jobs/src/dispatch/systems/placing/mod.rs
@@ -157,7 +157,7 @@
         }
         // A start on a worker that does not answer waits for the worker, not for this process.
         let waits = |(key, task): &&(WorkerKey, TaskId)| {
-            let worker = self.workers.get(*key).filter(|worker| worker.responds());
+            let worker = self.workers.get(*key).filter(|worker| worker.usable());
             worker.and_then(|worker| worker.runs.get(task)).is_some_and(|run| run.awaits_answer())
         };
         let waiting = self.unsettled.iter().filter(waits).count();
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -15,6 +15,12 @@
 /// Interval between polls while ends wait for the store, in milliseconds. A poll that waits for ends would
 /// return at once.
 const STORING_POLL_GAP_MS: u64 = 800;
+/// Time for which a worker may hold a poll while the fleet loses answers, in milliseconds.
+const LOSSY_WAIT_MS: u64 = 120;
+/// Time after such a wait from which another poll is sent beside one that may be held for longer, in milliseconds.
+const HEDGE_MS: u64 = 100;
+/// Polls without an answer that are repeated at once while the fleet loses answers.
+const MAX_EARLY_POLLS: u32 = 8;
 /// Time until a failed poll is repeated, in milliseconds.
 const POLL_RETRY_MS: u64 = 200;
 /// Largest multiple of that time for a worker without runs. The directory lists workers for some seconds
@@ -101,6 +107,9 @@
         worker.token = token;
         worker.fenced = false;
         worker.missed_polls = 0;
+        worker.silent = false;
+        worker.unanswered = 0;
+        worker.heard = None;
         worker.poll_soon(now);
         worker.unknown_since = None;
         worker.acknowledged = 0;
@@ -132,16 +141,33 @@
         }
         let at = self.moment(now);
         for worker in self.workers.values_mut() {
+            if let PollState::Waiting(sent, _) = worker.poll_state
+                && worker.poll_wait_ms > LOSSY_WAIT_MS
+                && at.since(sent) > LOSSY_WAIT_MS + HEDGE_MS
+                && self.losses.expected()
+            {
+                // The loss of its answer would show only after the wait. Another one is sent beside it.
+                worker.missed_polls = worker.missed_polls.saturating_add(1);
+                worker.poll_wait_ms = 0;
+                worker.poll_state = PollState::Idle(now);
+            }
             let PollState::Idle(due) = worker.poll_state else { continue };
             let ack_due = worker.acknowledged > worker.ack_received;
-            let needed = !worker.responds() || ack_due || worker.unknown_since.is_some();
+            let needed = !worker.responds() || worker.silent || ack_due || worker.unknown_since.is_some();
             // A record may name a pool that doesn't exist, or anything else as its address.
             let wanted = worker.listed && worker.served && needed || !worker.runs.is_empty();
             if due > now || !wanted || worker.record.address.is_empty() {
                 continue;
             }
-            let clock = worker.clock_at(at, self.options.poll_wait_ms);
+            let clock = worker.clock_at(at);
+            let limit_ms = self.losses.limit_ms(worker.missed_polls);
             let held = clock.is_some() && !worker.runs.is_empty() && worker.pending_ack.is_none();
+            // The loss of an answer shows only after the wait.
+            let wait_ms = match limit_ms {
+                _ if !held || worker.missed_polls > 0 => 0,
+                Some(_) => self.options.poll_wait_ms.min(LOSSY_WAIT_MS),
+                None => self.options.poll_wait_ms,
+            };
             // A worker that does not answer gets no new lease; otherwise its runs could never be given up.
             let deadline_ms =
                 clock.filter(|_| !worker.runs.is_empty()).map(|clock| clock + self.options.lease_ms);
@@ -149,29 +175,64 @@
                 worker.grant(now, self.options.lease_ms);
             }
             worker.poll_state = PollState::Waiting(at, worker.token);
-            worker.poll_held = held;
+            worker.poll_wait_ms = wait_ms;
             // A new process of the worker would take the number for one of its own ends.
             worker.ack_sent = if clock.is_some() && ack_due { worker.acknowledged } else { 0 };
             self.counters.polls += 1;
+            worker.poll_number = self.counters.polls;
             self.commands.push(Command::Poll(Poll {
+                number: worker.poll_number,
                 target: target(worker),
                 token: worker.token,
                 deadline_ms,
                 acknowledged: worker.ack_sent,
-                wait_ms: if held { self.options.poll_wait_ms } else { 0 },
+                wait_ms,
+                limit_ms,
             }));
         }
     }
 
-    /// Handles the answer to a poll.
+    /// Handles the answer to a poll, which may not be the worker's last one.
+    pub fn poll_answered(&mut self, now: u64, poll: &Poll, answer: Result<WorkerStatus, Outcome>) {
+        let at = self.moment(now);
+        let key = self.worker_key(&poll.target.worker);
+        let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) else { return };
+        if worker.poll_number == poll.number {
+            return self.polled(now, &poll.target.worker, answer);
+        }
+        // Its list may be older than one that is known.
+        match answer {
+            Ok(status) if poll.token == worker.token && status.started_ms == worker.process_start => {
+                worker.heard = Some(at);
+                self.losses.record(now, worker.take_unanswered());
+            }
+            Err(Outcome::TimedOut) => worker.unanswered = worker.unanswered.saturating_add(1),
+            Err(Outcome::Fenced) if poll.token == worker.token => self.fenced_out = true,
+            _ => {}
+        }
+    }
+
+    /// Handles the answer to the last poll of a worker.
     pub fn polled(&mut self, now: u64, id: &str, answer: Result<WorkerStatus, Outcome>) {
         let Some(key) = self.worker_key(id) else { return };
+        let at = self.moment(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
         // An answer to a poll that is no longer known tells nothing about the present process.
         let PollState::Waiting(sent, token) = worker.poll_state else { return };
         worker.poll_state = PollState::Idle(now + POLL_RETRY_MS);
-        let held = std::mem::take(&mut worker.poll_held);
-        let wait_ms = if held { self.options.poll_wait_ms } else { 0 };
+        let wait_ms = std::mem::take(&mut worker.poll_wait_ms);
+        match &answer {
+            Ok(_) => {
+                self.losses.record(now, worker.take_unanswered());
+                if wait_ms == 0 {
+                    self.losses.record_time(now.saturating_sub(sent.steady));
+                }
+            }
+            Err(Outcome::Unknown | Outcome::TimedOut) => {
+                worker.unanswered = worker.unanswered.saturating_add(1)
+            }
+            Err(_) => {}
+        }
         match answer {
             Ok(_) if token != worker.token => worker.poll_soon(now),
             Ok(status) => self.apply_status(now, sent, wait_ms, key, status),
@@ -190,7 +251,15 @@
                     let gaps = u64::from(worker.missed_polls.min(MAX_BACKOFF_STEPS));
                     worker.poll_state = PollState::Idle(now + gaps * POLL_RETRY_MS);
                 }
-                let first = worker.missed_polls == 1;
+                if outcome == Outcome::TimedOut && self.losses.expected() {
+                    if worker.missed_polls <= MAX_EARLY_POLLS {
+                        worker.poll_soon(now);
+                    }
+                    if !worker.silent && worker.excused(at) {
+                        return;
+                    }
+                }
+                let first = !std::mem::replace(&mut worker.silent, true);
                 if first {
                     log::warn!(target: DECISIONS, worker = id, outcome:? = outcome; "the worker does not answer");
                 }
@@ -214,7 +283,7 @@
             return self.reset_worker(now, sent.steady, key, status.started_ms);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let estimate = worker.clock_at(at, self.options.poll_wait_ms);
+        let estimate = worker.clock_at(at);
         let off_ms = estimate.map_or(0, |estimate| estimate.abs_diff(status.clock_ms));
         if off_ms > CLOCK_ERROR_MS {
             log::warn!(
@@ -227,14 +296,15 @@
         }
         worker.record_contact(sent, at, wait_ms, status.clock_ms);
         worker.ack_received = worker.ack_received.max(worker.ack_sent);
-        let was_unresponsive = worker.missed_polls > 0;
+        let was_unresponsive = worker.silent;
         // Such a poll renewed no lease.
-        let was_unknown = !worker.responds();
+        let was_unknown = !worker.usable();
         if was_unresponsive {
             log::info!(target: DECISIONS, worker = worker.record.worker.as_str(), looks = worker.missed_polls; "the worker answers again");
             self.unchanged = false;
         }
         worker.missed_polls = 0;
+        worker.silent = false;
         if !worker.fenced {
             worker.fenced = true;
             // Until now orders of a former owner or to a former process could extend its leases.
@@ -399,7 +469,8 @@
         }
         if !resumed {
             let token = self.workers.get(key).map_or(self.epoch, |worker| worker.token);
-            self.commands.push(Command::Stop(Stop { target: target.clone(), token, task, run: number }));
+            let stop = Stop { target: target.clone(), token, task, run: number, limit_ms: None };
+            self.commands.push(Command::Stop(stop));
         }
     }
 
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -131,6 +131,10 @@
         for task in tasks {
             self.requeue(now, key, task, evidence);
         }
+        // Their room is used again once the worker itself has shown that it is free.
+        if let Some(worker) = self.workers.get_mut(key).filter(|worker| worker.missed_polls > 0) {
+            worker.silent = true;
+        }
     }
 
     /// Requeues the tasks that were placed on a worker and not sent to it.
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -27,6 +27,9 @@
 /// Time after a worker's answer in which no restart is expected and its clock has hardly drifted, in milliseconds. Within
 /// it a worker gets starts and leases without another poll.
 const CONTACT_MS: u64 = 700;
+/// Time since a worker's answer in which it takes tasks although a later poll timed out while the fleet loses answers, in
+/// milliseconds. A quarter of the lease that a poll grants.
+const EXCUSE_MS: u64 = 1_500;
 /// Weight of the latest outcome in the moving average of failed runs, in percent.
 const OUTCOME_PERCENT: u64 = 20;
 /// Average of failed runs above which a worker gets no new tasks, in thousandths.
@@ -222,12 +225,20 @@
     pub fenced: bool,
     /// When it is polled next, or since when an answer is missing.
     pub poll_state: PollState,
+    /// Number of the last poll.
+    pub poll_number: u64,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
+    /// True if it gets no tasks, starts or leases until it answers a poll.
+    pub silent: bool,
+    /// Requests without an answer since its last answer to one.
+    pub unanswered: u32,
+    /// Its last answer to an order with its present token.
+    pub heard: Option<Moment>,
     /// Its last answer to a poll; none from its present process.
     pub contact: Option<Contact>,
-    /// True while the worker holds the poll under way until a run ends.
-    pub poll_held: bool,
+    /// Time for which the worker may hold the poll under way until a run ends, in milliseconds.
+    pub poll_wait_ms: u64,
     /// Time after which all leases have surely expired.
     pub lease_end: u64,
     /// Highest number of an end that is stored.
@@ -266,9 +277,13 @@
             token,
             fenced: false,
             poll_state: PollState::Idle(now),
+            poll_number: 0,
             missed_polls: 0,
+            silent: false,
+            unanswered: 0,
+            heard: None,
             contact: None,
-            poll_held: false,
+            poll_wait_ms: 0,
             lease_end: 0,
             acknowledged: 0,
             ack_received: 0,
@@ -288,11 +303,10 @@
     /// Without one the worker may have restarted meanwhile: the new process can be of another kind and does not know the
     /// ends that were acknowledged to the former one.
     #[must_use]
-    pub fn clock_at(&self, at: Moment, poll_wait_ms: u64) -> Option<u64> {
-        let contact = self.contact.filter(|_| self.responds() && self.record_is_current())?;
+    pub fn clock_at(&self, at: Moment) -> Option<u64> {
+        let contact = self.contact.filter(|_| self.usable() && self.record_is_current())?;
         // A poll that the worker holds fails as soon as its process ends.
-        let allowed = if self.poll_held { CONTACT_MS + poll_wait_ms } else { CONTACT_MS };
-        (at.since(contact.at) <= allowed).then(|| {
+        (at.since(contact.at) <= CONTACT_MS + self.poll_wait_ms).then(|| {
             contact.clock_ms.saturating_add(at.steady.saturating_sub(contact.read)).min(MAX_CLOCK_MS)
         })
     }
@@ -322,6 +336,7 @@
     /// Has it get no tasks until it answers a poll that is sent from now on, which shows what it really runs.
     pub fn require_answer(&mut self, now: u64) {
         self.missed_polls = self.missed_polls.max(1);
+        self.silent = true;
         self.disown_poll();
         self.poll_soon(now);
     }
@@ -349,11 +364,29 @@
         self.fenced && self.missed_polls == 0
     }
 
+    /// True if it answered the last poll, or one shortly before while the fleet loses answers.
+    #[must_use]
+    pub const fn usable(&self) -> bool {
+        self.fenced && !self.silent
+    }
+
+    /// True if a poll that timed out while the fleet loses answers doesn't make it silent.
+    #[must_use]
+    pub fn excused(&self, at: Moment) -> bool {
+        let recent = |answer: Moment| at.since(answer) <= EXCUSE_MS;
+        self.contact.is_some_and(|contact| recent(contact.at) || self.heard.is_some_and(recent))
+    }
+
+    /// Number of requests without an answer since the last answer to one; counts anew from now on.
+    pub const fn take_unanswered(&mut self) -> u32 {
+        std::mem::replace(&mut self.unanswered, 0)
+    }
+
     /// True if tasks may be placed on it.
     #[must_use]
     pub fn accepts_tasks(&self, now: u64) -> bool {
         self.listed
-            && self.responds()
+            && self.usable()
             && self.record_is_current()
             && !self.record.draining
             && !self.emptying
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -233,7 +233,7 @@
         match command {
             Command::Poll(poll) => {
                 let answer = workers.poll(&poll).await;
-                self.notify_dispatcher(epoch, |d, now| d.polled(now, &poll.target.worker, answer));
+                self.notify_dispatcher(epoch, |d, now| d.poll_answered(now, &poll, answer));
             }
             Command::Start(start) => {
                 let stale = self.state.borrow().intake.age(Instant::now()) > MAX_INTAKE_AGE;
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -336,7 +336,7 @@
     run_until_started(&mut world, 2);
     let start = world.start_orders.last().expect("it was sent").1.clone();
     let (target, token, task, run) = (start.target.clone(), start.token, start.task, start.run);
-    let stop = Stop { target: target.clone(), token, task, run };
+    let stop = Stop { target: target.clone(), token, task, run, limit_ms: None };
     let throttle = Throttle { target, token, task, run, percent: 50 };
     let record = world.kill_worker(&worker);
     world.restart_worker(record);
@@ -380,7 +380,13 @@
     run_checked(&mut world, 500);
     let start = world.start_orders[0].1.clone();
     let worker = start.target.worker.clone();
-    let stop = Stop { target: start.target.clone(), token: start.token, task: start.task, run: start.run };
+    let stop = Stop {
+        target: start.target.clone(),
+        token: start.token,
+        task: start.task,
+        run: start.run,
+        limit_ms: None,
+    };
     let record = world.kill_worker(&worker);
     world.restart_worker(WorkerRecord { address: "elsewhere".into(), ..record });
     run_checked(&mut world, 2_000);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 pub(crate) mod large;
+mod losses;
 mod policy;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -26,6 +27,7 @@
 use rattanfall_jobs::table::{JobState, Table};
 
 use directory::Directory;
+pub(crate) use losses::Lossy;
 pub(crate) use policy::PolicyService;
 
 /// Time of day at the start of a test, in milliseconds since 1970.
@@ -180,6 +182,12 @@
     pub(crate) delay: Option<u64>,
     /// Delay of new starts, if it differs.
     pub(crate) start_delay: Option<u64>,
+    /// Orders that get no answer; none if all are answered.
+    pub(crate) lossy: Option<Lossy>,
+    /// Orders without an answer, with the ends of their time limits.
+    unanswered: Vec<(u64, Command)>,
+    /// Polls without an answer.
+    pub(crate) polls_lost: Vec<Poll>,
     /// Starts that the owner's process can send in a round; none if there is no limit.
     pub(crate) send_limit: Option<usize>,
     /// Starts that were ordered and not sent yet.
@@ -353,6 +361,9 @@
             orders_outlast: false,
             delay: None,
             start_delay: None,
+            lossy: None,
+            unanswered: Vec::new(),
+            polls_lost: Vec::new(),
             send_limit: None,
             intake_paused: false,
             deferred: BTreeSet::new(),
@@ -515,6 +526,7 @@
     pub(crate) fn round(&mut self) {
         self.now += ROUND_MS;
         self.run_workers();
+        self.run_time_limits();
         self.run_machines();
         self.run_policy();
         self.write_records();
@@ -651,6 +663,7 @@
             table.apply_progress(read_change(entry).expect("own records decode"));
         }
         self.unsent.clear();
+        self.unanswered.clear();
         self.epoch = next_epoch(self.epoch);
         table.owner = Owner { epoch: self.epoch, name: format!("{instance}-{}", self.epoch) };
         let catalog = Arc::clone(&self.catalog);
@@ -752,6 +765,9 @@
         if let Command::Start(start) = &command {
             self.start_orders.push((now, start.clone()));
         }
+        if self.lose(&command) {
+            return;
+        }
         match &command {
             Command::Start(start) if self.postpone(&command) => {
                 return self.dispatcher.started(now, start, Outcome::Unknown);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -173,6 +173,7 @@
         checkpoint: String::new(),
         deadline_ms: 0,
         ticket: None,
+        limit_ms: None,
     };
     world.workers.values_mut().for_each(|worker| worker.drops_answers = false);
     world.run_for(300);
