Count a machine that lists lack as gone only without an answer for 10 s

Operators could see a wave as completed without a machine that stays (MIXED): five lists over 10 s lacked it, and one poll of its worker was lost, although the worker answered all the while. A worker without runs wasn't polled at all.

The test of the stored progress also checks that nothing was published while the world ran.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -277,6 +277,7 @@
             self.mark_begun(wave, &name);
         }
         self.fleet.note_missing(asked);
+        self.mark_missing();
         self.mark_emptying();
         self.requeue_gone_workers(now, asked);
     }
@@ -319,13 +320,14 @@
         self.mark_emptying();
     }
 
-    /// True if several lists in a row, over some time, lacked a machine of a wave, and its worker doesn't answer.
+    /// True if several lists in a row, over some time, lacked a machine of a wave, and its worker hasn't answered in that time.
     pub(super) fn is_gone(&self, name: &str) -> bool {
         let Some(absence) = self.fleet.missing.get(name) else { return false };
         let worker = absence.worker.as_deref().and_then(|id| self.worker_key(id));
-        let responds = worker.and_then(|key| self.workers.get(key)).is_some_and(Worker::responds);
+        let answered = worker.and_then(|key| self.workers.get(key)).map(Worker::last_answer);
+        let since = absence.since.max(answered.unwrap_or(0));
         let asked = self.fleet.list_asked.unwrap_or(0);
-        !responds && absence.lists >= GONE_LISTS && asked >= absence.since + GONE_MS
+        absence.lists >= GONE_LISTS && asked >= since + GONE_MS
     }
 
     /// Key of the worker that runs on a machine.
@@ -359,6 +361,19 @@
         }
     }
 
+    /// Has the workers polled whose machines the lists lack.
+    fn mark_missing(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.missing = false;
+        }
+        let ids = self.fleet.missing.values().filter_map(|absence| absence.worker.as_deref());
+        for key in ids.filter_map(|id| self.worker_key(id)).collect::<Vec<_>>() {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.missing = true;
+            }
+        }
+    }
+
     /// Stores the time of an order to an empty machine; the order is sent once that is stored.
     pub(super) fn order_machine(&mut self, name: &str) {
         let Some(row) = self.fleet.rows.get(name) else { return };
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -21,6 +21,8 @@
 const HEDGE_MS: u64 = 100;
 /// Polls without an answer that are repeated at once while the fleet loses answers.
 const MAX_EARLY_POLLS: u32 = 8;
+/// Time without an answer after which a worker whose machine the lists lack is polled, in milliseconds.
+const MISSING_POLL_MS: u64 = 1_000;
 /// Time until a failed poll is repeated, in milliseconds.
 const POLL_RETRY_MS: u64 = 200;
 /// Largest multiple of that time for a worker without runs. The directory lists workers for some seconds
@@ -153,7 +155,9 @@
             }
             let PollState::Idle(due) = worker.poll_state else { continue };
             let ack_due = worker.acknowledged > worker.ack_received;
-            let needed = !worker.responds() || worker.silent || ack_due || worker.unknown_since.is_some();
+            let unproved = worker.missing && worker.last_answer() + MISSING_POLL_MS < now;
+            let needed =
+                !worker.responds() || worker.silent || ack_due || worker.unknown_since.is_some() || unproved;
             // A record may name a pool that doesn't exist, or anything else as its address.
             let wanted = worker.listed && worker.served && needed || !worker.runs.is_empty();
             if due > now || !wanted || worker.record.address.is_empty() {
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -261,6 +261,8 @@
     pub excluded_until: u64,
     /// True while its machine is emptied for upkeep or a move.
     pub emptying: bool,
+    /// True while lists lack its machine, which is due for upkeep.
+    pub missing: bool,
 }
 
 impl Worker {
@@ -295,6 +297,7 @@
             failure_permille: 0,
             excluded_until: 0,
             emptying: false,
+            missing: false,
         }
     }
 
@@ -341,6 +344,12 @@
         self.poll_soon(now);
     }
 
+    /// Time of the last answer of its present process, or at which that was first seen.
+    #[must_use]
+    pub fn last_answer(&self) -> u64 {
+        self.contact.map_or(self.known_since, |contact| contact.at.steady.max(self.known_since))
+    }
+
     /// Placement of a task on its newest process.
     #[must_use]
     pub fn placement(&self) -> Placement {
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -9,8 +9,9 @@
 use rattanfall_jobs::dispatch::options::Options;
 use rattanfall_jobs::ports::MachineOutcome;
 use rattanfall_jobs::record::{Change, Entry, read_change, wave};
+use rattanfall_jobs::spec::Step;
 use serde::{Deserialize, Serialize};
-use support::{MachineFault, ROUND_MS, World};
+use support::{MachineFault, ROUND_MS, World, cores, job, step};
 
 const ALL: [&str; 4] = ["red-00", "red-01", "red-02", "red-03"];
 
@@ -317,6 +318,7 @@
     }
     world.down = true;
     world.run_for(400);
+    assert_eq!(world.published.get(&1), Some(&false));
     let write = world.dispatcher.take_write(world.now).expect("a list has shown the upkeep");
     for _ in 0..1_000 / ROUND_MS {
         world.now += ROUND_MS;
@@ -587,3 +589,25 @@
     world.write_wave(1, &ALL, 1, 20_000);
     assert!(world.dispatcher.table.waves[&1].seen_ms > seen_ms);
 }
+
+/// Guards against a wave that is shown as completed because a machine is missing from lists and one poll of its worker is lost.
+#[test]
+fn a_lost_poll_does_not_end_the_wave_of_a_machine_that_lists_lack() {
+    let mut world = World::new(ALL.len());
+    let step = Step { long_running: true, spread: Some(1), ..step(4, cores(1), 1_000) };
+    world.submit(job(1, vec![step]));
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Refuses);
+    world.write_wave(1, &ALL[..1], 1, 30_000);
+    world.run_for(500);
+    let worker = world.machines[ALL[0]].0.worker.clone().expect("the machine has a worker");
+    world.machines_unread = true;
+    for second in 0..16 {
+        world.workers.get_mut(&worker).expect("it runs").partitioned = second == 13;
+        world.run_for(1_000);
+        let list = world.list_machines().into_iter().filter(|machine| machine.name != ALL[0]).collect();
+        world.dispatcher.set_machines(world.now, world.now, list);
+        world.run_for(200);
+        assert_eq!(world.published.get(&1), Some(&false), "after {second} s");
+    }
+}
