Don't order an accepted upkeep again once its wave was removed

A machine could be maintained once more for a wave that the operators had removed: the order that was accepted was sent again a second later.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -550,7 +550,7 @@
             // A machine whose upkeep was carried out for a former owner stays in service, and the order is accepted again.
             let serves =
                 status.state == MachineState::Up && order.listed.is_some() && status.worker == order.listed;
-            if serves && !order.begun && !order.repeated {
+            if serves && !order.begun && !order.repeated && !order.former {
                 // A list may be from some time before.
                 if asked >= at + LIST_DELAY_MS {
                     log::warn!(
--- a/crates/jobs/tests/waves.rs
+++ b/crates/jobs/tests/waves.rs
@@ -611,3 +611,19 @@
         assert_eq!(world.published.get(&1), Some(&false), "after {second} s");
     }
 }
+
+/// Guards against an upkeep that is ordered for a wave which the operators have removed.
+#[test]
+fn an_accepted_upkeep_of_a_removed_wave_is_not_ordered_again() {
+    let mut world = World::new(ALL.len());
+    world.run_for(1_000);
+    world.machine_fault = Some(MachineFault::Answers(MachineOutcome::Taken));
+    world.write_wave(1, &ALL[..1], 1, 5_000);
+    while world.machine_orders == 0 {
+        world.round();
+    }
+    world.machine_fault = None;
+    world.remove_wave(1);
+    world.run_for(5_000);
+    assert_eq!(world.machine_orders, 1);
+}
