--- a/crates/jobs/src/node/intake/mod.rs
+++ b/crates/jobs/src/node/intake/mod.rs
@@ -198,7 +198,10 @@
             }
             Err(error) => {
                 self.handle.meters.retried("intake_refused");
-                log::info!(error:% = error, records = entries.len(); "the store refused records of the intake");
+                if let Some(refusals) = self.state.borrow_mut().records.refusals.add(Instant::now()) {
+                    let records = entries.len();
+                    log::info!(error:% = error, records = records, refusals = refusals; "the store refused records of the intake");
+                }
                 (Outcome::Refused, None)
             }
         }
--- a/crates/jobs/src/node/intake/queue.rs
+++ b/crates/jobs/src/node/intake/queue.rs
@@ -25,6 +25,8 @@
 const AVOID_PERIOD: Duration = Duration::from_secs(2);
 /// Delay between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Minimum interval between two log lines about refused appends.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of appends while the store is slow. The second begins once the first is late.
 const MAX_SLOW_APPENDS: usize = 2;
 /// Time after which an append is carried out, if it ever is. Longer than the work that may wait at the store.
@@ -134,10 +136,30 @@
     pub(super) deadline: Instant,
 }
 
+/// Refused appends since the last log line.
+#[derive(Debug, Default)]
+pub(super) struct Refusals {
+    count: usize,
+    logged: Option<Instant>,
+}
+
+impl Refusals {
+    /// Adds a refused append. Returns the number since the last log line if another one is due.
+    pub(super) fn add(&mut self, now: Instant) -> Option<usize> {
+        self.count += 1;
+        if self.logged.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return None;
+        }
+        self.logged = Some(now);
+        Some(std::mem::take(&mut self.count))
+    }
+}
+
 /// Records that callers wait for.
 #[derive(Debug, Default)]
 pub(in super::super) struct Queue {
     pub(in super::super) pace: Pace,
+    pub(super) refusals: Refusals,
     records: BTreeMap<RecordKey, Record>,
     attempts: BTreeMap<AttemptKey, Attempt>,
     next: u64,
