Give the owner's writes three attempts again

While each append takes 420 ms, four attempts of one write of the summaries filled their partition for 1.7 s.

--- a/crates/jobs/src/node/mod.rs
+++ b/crates/jobs/src/node/mod.rs
@@ -36,7 +36,7 @@
 /// Interval between two checks of readiness.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Repeats of the owner's writes.
-const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 5 };
+const WRITE_REPEATS: Limits = Limits { min_delay: Duration::from_millis(60), attempts: 3 };
 /// Repeats of a holder's joins. A member whose joins don't arrive is dropped soon, and the work changes its owner.
 const JOIN_REPEATS: Limits = Limits { min_delay: Duration::from_millis(150), attempts: 3 };
 
--- a/crates/jobs/tests/slow_store.rs
+++ b/crates/jobs/tests/slow_store.rs
@@ -151,12 +151,19 @@
     receiver.recv().expect("the scenario ends")
 }
 
-/// Prints the table of the capacity page.
+/// Every call is accepted, with no more appends than the store carries out, at any number of instances. Prints the table
+/// of the capacity page.
 #[rstest]
 #[tokio::test(start_paused = true)]
-#[ignore = "prints a table"]
-async fn table(#[values(33, 147, 349)] nodes: usize, #[values(2, 40, 120, 420)] append_ms: u64) {
-    println!("{:?}", slow(nodes, append_ms, 8).await);
+async fn appends_follow_the_store(
+    #[values(33, 147, 349)] nodes: usize,
+    #[values(2, 40, 120, 420)] append_ms: u64,
+) {
+    let figures = slow(nodes, append_ms, 8).await;
+    println!("{figures:?}");
+    assert!(figures.accepted >= 1.0, "{figures:?}");
+    // One more a second may be under way at the begin or at the end.
+    assert!(figures.appends_per_s <= 1_000.0 / append_ms as f64 + 1.0, "{figures:?}");
 }
 
 /// The number of appends is not higher while the store is prompt than one for each record.
