Show that ends beyond the first 500 of a worker's list are taken for lost runs

A run that a worker lists neither as running nor among the 500 ends of an answer counts as lost, and its task starts again although it is done.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,242 @@
+//! The cases.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::error::Error;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Fleet, Seen, Step};
+use crate::node::{Node, manifest, wait_for};
+use crate::store::Store;
+
+type Outcome = Result<Option<String>, Box<dyn Error>>;
+
+const SERVICE: &str = "huvo11a";
+/// Time within which the nodes are ready, one of them owns the work and all workers have answered it.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+pub fn play(case: &str, folder: &Path, trouble: bool) -> Outcome {
+    match case {
+        "ends" => many_ends(folder, trouble),
+        "gang" => gang(folder, trouble),
+        "attempts" => attempts(folder, trouble),
+        _ => Err("no such case".into()),
+    }
+}
+
+/// Small deployment: a store, a machine API, workers of one service and nodes.
+struct Site {
+    store: Store,
+    fleet: Fleet,
+    nodes: Vec<Node>,
+    temporary: PathBuf,
+}
+
+impl Site {
+    fn start(folder: &Path, nodes: usize, workers: usize, max_attempts: u32) -> Result<Self, Box<dyn Error>> {
+        let temporary = std::env::temp_dir().join(format!("rattanfall-review-2-{}", std::process::id()));
+        std::fs::create_dir_all(&temporary)?;
+        let store = Store::default();
+        store.put("keyed.op", "config", &manifest(SERVICE, max_attempts));
+        let fleet = Fleet::start(SERVICE, workers, &store, File::create(folder.join("record.txt"))?)?;
+        let (address, machines) = (store.serve()?.address, fleet.serve_machines()?.address);
+        let mut site = Self { store, fleet, nodes: Vec::new(), temporary };
+        for index in 1..=nodes {
+            let node = Node::start(&format!("edge-a-{index}"), &site.temporary, address, machines)?;
+            site.fleet.log(&format!("{} runs as process {:?}", node.name, node.id()));
+            site.nodes.push(node);
+        }
+        let ready = wait_for(START_TIMEOUT, || site.nodes.iter().all(Node::is_ready) && site.owner().is_some());
+        if !ready {
+            return Err("the nodes are not ready".into());
+        }
+        // All nodes have loaded the work by then, and the owner knows all workers.
+        sleep(Duration::from_secs(4));
+        Ok(site)
+    }
+
+    /// Node that owns the work, by the name in its record in the store.
+    fn owner(&self) -> Option<usize> {
+        let value = self.store.newest_value("keyed.progress", "owner")?;
+        let text = String::from_utf8_lossy(&value).into_owned();
+        self.nodes.iter().position(|node| text.contains(&format!("{}@", node.name)))
+    }
+
+    /// Hands a job in at a node.
+    fn submit(&self, node: usize, job: &str, body: &str, steps: Vec<Step>) -> Result<(), Box<dyn Error>> {
+        self.fleet.expect(job, steps);
+        let (status, _) = self.nodes[node].call("POST", job, body)?;
+        self.fleet.log(&format!("client: POST {job} at {} -> {status}", self.nodes[node].name));
+        if status == 200 { Ok(()) } else { Err(format!("the job was answered with {status}").into()) }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        let _ = std::fs::remove_dir_all(&self.temporary);
+    }
+}
+
+/// Runs with an end of this kind that was taken note of.
+fn noted_ends(seen: &[Seen], kind: &str) -> BTreeSet<(String, u32)> {
+    let noted = seen.iter().filter_map(|event| if let Seen::Noted { tasks, .. } = event { Some(tasks) } else { None });
+    noted.flatten().filter(|(.., how)| *how == kind).map(|(task, run, _)| (task.clone(), *run)).collect()
+}
+
+/// Starts of tasks after a run of them has ended as done, when that end was taken note of.
+fn starts_after_done(seen: &[Seen]) -> Vec<String> {
+    let noted = noted_ends(seen, "done");
+    let mut done: BTreeMap<&str, Instant> = BTreeMap::new();
+    let mut broken = Vec::new();
+    for event in seen {
+        match event {
+            Seen::Ended { at, task, run, how: "done", .. } if noted.contains(&(task.clone(), *run)) => {
+                done.insert(task, *at);
+            }
+            Seen::Started { at, task, run, worker, .. } if done.get(task.as_str()).is_some_and(|end| end < at) => {
+                broken.push(format!("{task} run {run} on {worker}"));
+            }
+            _ => {}
+        }
+    }
+    broken
+}
+
+/// TWICE: the owner is killed while many short tasks end. Workers list 500 ends at a time.
+fn many_ends(folder: &Path, trouble: bool) -> Outcome {
+    const TASKS: usize = 1_000;
+    const TASK_MS: u64 = 9_000;
+    let mut site = Site::start(folder, 2, 1, 3)?;
+    let job = "5c0e7a21d94b36f8";
+    let body = format!(
+        r#"{{"spec":"ms={TASK_MS}","phases":[{{"count":{TASKS},"cpu":10,"mem_mb":16,"estimate_ms":{TASK_MS}}}]}}"#
+    );
+    site.submit(0, job, &body, vec![Step { count: TASKS, gang: false, checkpointing: false }])?;
+    let begun = Instant::now();
+    if !wait_for(Duration::from_secs(8), || site.fleet.running() == TASKS) {
+        return Err(format!("only {} tasks run", site.fleet.running()).into());
+    }
+    site.fleet.log(&format!("all tasks run after {} ms", begun.elapsed().as_millis()));
+    if trouble {
+        // Shortly before the first tasks end.
+        sleep(Duration::from_millis(TASK_MS - 300).saturating_sub(begun.elapsed()));
+        let owner = site.owner().ok_or("no owner")?;
+        site.fleet.log(&format!("{} owns the work and is killed", site.nodes[owner].name));
+        site.nodes[owner].kill();
+        sleep(Duration::from_secs(2));
+        site.nodes[owner].run()?;
+    }
+    let other = (site.owner().unwrap_or(0) + 1) % 2;
+    wait_for(Duration::from_secs(40), || site.nodes[other].state(job).as_deref() == Some("completed"));
+    sleep(Duration::from_secs(2));
+    let state = site.nodes[other].state(job);
+    site.fleet.log(&format!("client: GET {job} -> {state:?}"));
+    let broken = starts_after_done(&site.fleet.seen());
+    site.fleet.log(&format!("{} tasks started after they were done", broken.len()));
+    Ok(broken.first().map(|first| format!("{} tasks started after they were done, first {first}", broken.len())))
+}
+
+/// GANG: a worker crashes under a gang that saves its progress.
+fn gang(folder: &Path, trouble: bool) -> Outcome {
+    const MEMBERS: usize = 3;
+    const TASK_MS: u64 = 8_000;
+    let site = Site::start(folder, 2, 8, 3)?;
+    let job = "5c0e7a21d94b36f8";
+    let body = format!(
+        r#"{{"spec":"ms={TASK_MS}","phases":[{{"count":{MEMBERS},"cpu":2000,"mem_mb":1024,"estimate_ms":{TASK_MS},"gang":true,"checkpointing":true,"anti_affinity":1}}]}}"#
+    );
+    site.submit(0, job, &body, vec![Step { count: MEMBERS, gang: true, checkpointing: true }])?;
+    let mut calm_since = Instant::now();
+    if trouble {
+        sleep(Duration::from_millis(4_300));
+        let seen = site.fleet.seen();
+        let used = seen.iter().find_map(|event| if let Seen::Started { worker, .. } = event { Some(worker.clone()) } else { None });
+        let index = used.and_then(|id| (0..8).find(|index| id.ends_with(&format!("{index:02x}")))).ok_or("nothing runs")?;
+        site.fleet.crash(index);
+        sleep(Duration::from_millis(2_000));
+        site.fleet.restart(index);
+        calm_since = Instant::now();
+    }
+    wait_for(Duration::from_secs(45), || site.nodes[1].state(job).as_deref() == Some("completed"));
+    let state = site.nodes[1].state(job);
+    site.fleet.log(&format!("client: GET {job} -> {state:?}"));
+    // Ends within `contact_ms` of the disruption, and of waits that began then, don't count.
+    let calm = calm_since + Duration::from_secs(if trouble { 6 } else { 0 });
+    let alone = site.fleet.seen().into_iter().filter(|event| matches!(event, Seen::Ended { at, how: "alone", .. } if *at > calm)).count();
+    if alone > 0 {
+        return Ok(Some(format!("{alone} runs ended alone while nothing was disturbed; the job is {state:?}")));
+    }
+    Ok(None)
+}
+
+/// BUDGET: the only workers with room refuse starts for some seconds between the failures of a task. Each refusal takes a run
+/// number.
+fn attempts(folder: &Path, trouble: bool) -> Outcome {
+    const JOBS: usize = 30;
+    const WORKERS: usize = 22;
+    /// Workers with room, which refuse starts by turns.
+    const FREE: usize = 3;
+    const MAX_ATTEMPTS: usize = 6;
+    /// Time for which the worker refuses starts.
+    const REFUSING: Duration = Duration::from_millis(6_500);
+    let site = Site::start(folder, 2, WORKERS, MAX_ATTEMPTS as u32)?;
+    // Fills the other workers.
+    let body = format!(
+        r#"{{"spec":"ms=1000000","phases":[{{"count":{},"cpu":15900,"mem_mb":1024,"estimate_ms":1000,"anti_affinity":1,"long_running":true}}]}}"#,
+        WORKERS - FREE
+    );
+    site.submit(0, "5c0e7a21d94bffff", &body, vec![Step { count: WORKERS - FREE, gang: false, checkpointing: false }])?;
+    if !wait_for(Duration::from_secs(5), || site.fleet.running() == WORKERS - FREE) {
+        return Err("the workers could not be filled".into());
+    }
+    let free: Vec<usize> = (0..WORKERS).filter(|index| site.fleet.is_idle(*index)).collect();
+    let jobs: Vec<String> = (0..JOBS).map(|index| format!("5c0e7a21d94b{index:04x}")).collect();
+    for (index, job) in jobs.iter().enumerate() {
+        let ms = 500 + 20 * index;
+        let body =
+            format!(r#"{{"spec":"ms={ms} fails=1","phases":[{{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":{ms}}}]}}"#);
+        site.submit(0, job, &body, vec![Step { count: 1, gang: false, checkpointing: false }])?;
+    }
+    for round in 1..MAX_ATTEMPTS {
+        let started = || {
+            let seen = site.fleet.seen();
+            let mut starts: BTreeMap<&str, usize> = BTreeMap::new();
+            for event in &seen {
+                if let Seen::Started { task, .. } = event {
+                    *starts.entry(task).or_default() += 1;
+                }
+            }
+            jobs.iter().all(|job| starts.get(format!("{job}.0.0.0").as_str()).is_some_and(|count| *count >= round))
+        };
+        wait_for(Duration::from_secs(8), started);
+        if trouble {
+            free.iter().for_each(|index| site.fleet.set_unhealthy(*index, true));
+            sleep(REFUSING);
+            free.iter().for_each(|index| site.fleet.set_unhealthy(*index, false));
+        }
+    }
+    sleep(Duration::from_secs(12));
+    site.fleet.log(&format!("{} starts were refused", site.fleet.refused()));
+    let mut failures: BTreeMap<String, BTreeSet<u32>> = BTreeMap::new();
+    let mut broken: BTreeMap<String, usize> = BTreeMap::new();
+    let seen = site.fleet.seen();
+    let noted = noted_ends(&seen, "failed");
+    for event in &seen {
+        match event {
+            Seen::Ended { task, run, how: "failed", .. } if noted.contains(&(task.clone(), *run)) => {
+                failures.entry(task.clone()).or_default().insert(*run);
+            }
+            Seen::Started { task, .. } if failures.get(task).is_some_and(|runs| runs.len() >= MAX_ATTEMPTS) => {
+                *broken.entry(task.clone()).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+    for (task, starts) in &broken {
+        site.fleet.log(&format!("{task} started {starts} times after {MAX_ATTEMPTS} failures; failed runs {:?}", failures[task]));
+    }
+    Ok(broken.keys().next().map(|first| format!("{} tasks started after {MAX_ATTEMPTS} failed runs, first {first}", broken.len())))
+}
