--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -141,11 +141,7 @@
 
 impl State {
     fn step(&self, task: &str) -> Step {
-        let mut parts = task.split('.');
-        let job = parts.next().unwrap_or_default();
-        let step: usize = parts.nth(1).and_then(|step| step.parse().ok()).unwrap_or(0);
-        let known = self.steps.get(job).and_then(|steps| steps.get(step));
-        *known.unwrap_or(&Step { count: 1, gang: false, checkpointing: false })
+        step_of(&self.steps, task)
     }
 
     fn advance(&mut self) {
@@ -176,7 +172,7 @@
             }
         }
         for worker in self.workers.iter_mut().filter(|worker| worker.up) {
-            for (key, run) in &mut worker.runs {
+            for (key, run) in worker.runs.iter_mut().filter(|(key, _)| step_of(&self.steps, &key.0).checkpointing) {
                 let work = run.work_ms();
                 if run.begun.is_some() && work >= saved_ms(&run.checkpoint) + CHECKPOINT_MS {
                     run.checkpoint = checkpoint(work / CHECKPOINT_MS * CHECKPOINT_MS, &key.0);
@@ -221,6 +217,15 @@
     }
 }
 
+/// Step of a task, as the client sent it.
+fn step_of(jobs: &HashMap<String, Vec<Step>>, task: &str) -> Step {
+    let mut parts = task.split('.');
+    let job = parts.next().unwrap_or_default();
+    let step: usize = parts.nth(1).and_then(|step| step.parse().ok()).unwrap_or(0);
+    let known = jobs.get(job).and_then(|steps| steps.get(step));
+    *known.unwrap_or(&Step { count: 1, gang: false, checkpointing: false })
+}
+
 /// Step of a task, by which a gang is known.
 fn gang_of(task: &str) -> &str {
     task.rsplit_once('.').map_or(task, |(step, _)| step)
