--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -22,6 +22,7 @@
         "ends" => many_ends(folder, trouble),
         "gang" => gang(folder, trouble),
         "attempts" => attempts(folder, trouble),
+        "pending" => pending(folder, trouble),
         _ => Err("no such case".into()),
     }
 }
@@ -64,6 +65,19 @@
         self.nodes.iter().position(|node| text.contains(&format!("{}@", node.name)))
     }
 
+    /// Fills all workers but some with tasks that last. Returns the others.
+    fn fill(&self, workers: usize, free: usize) -> Result<Vec<usize>, Box<dyn Error>> {
+        let count = workers - free;
+        let body = format!(
+            r#"{{"spec":"ms=1000000","phases":[{{"count":{count},"cpu":15900,"mem_mb":1024,"estimate_ms":1000,"anti_affinity":1,"long_running":true}}]}}"#
+        );
+        self.submit(0, "5c0e7a21d94bffff", &body, vec![Step { count, gang: false, checkpointing: false }])?;
+        if !wait_for(Duration::from_secs(5), || self.fleet.running() == count) {
+            return Err("the workers could not be filled".into());
+        }
+        Ok((0..workers).filter(|index| self.fleet.is_idle(*index)).collect())
+    }
+
     /// Hands a job in at a node.
     fn submit(&self, node: usize, job: &str, body: &str, steps: Vec<Step>) -> Result<(), Box<dyn Error>> {
         self.fleet.expect(job, steps);
@@ -183,16 +197,7 @@
     /// Time for which the worker refuses starts.
     const REFUSING: Duration = Duration::from_millis(6_500);
     let site = Site::start(folder, 2, WORKERS, MAX_ATTEMPTS as u32)?;
-    // Fills the other workers.
-    let body = format!(
-        r#"{{"spec":"ms=1000000","phases":[{{"count":{},"cpu":15900,"mem_mb":1024,"estimate_ms":1000,"anti_affinity":1,"long_running":true}}]}}"#,
-        WORKERS - FREE
-    );
-    site.submit(0, "5c0e7a21d94bffff", &body, vec![Step { count: WORKERS - FREE, gang: false, checkpointing: false }])?;
-    if !wait_for(Duration::from_secs(5), || site.fleet.running() == WORKERS - FREE) {
-        return Err("the workers could not be filled".into());
-    }
-    let free: Vec<usize> = (0..WORKERS).filter(|index| site.fleet.is_idle(*index)).collect();
+    let free = site.fill(WORKERS, FREE)?;
     let jobs: Vec<String> = (0..JOBS).map(|index| format!("5c0e7a21d94b{index:04x}")).collect();
     for (index, job) in jobs.iter().enumerate() {
         let ms = 500 + 20 * index;
@@ -240,3 +245,50 @@
     }
     Ok(broken.keys().next().map(|first| format!("{} tasks started after {MAX_ATTEMPTS} failed runs, first {first}", broken.len())))
 }
+
+/// MIXED: the owner is killed while the only workers with room hang.
+fn pending(folder: &Path, trouble: bool) -> Outcome {
+    const JOBS: usize = 20;
+    const WORKERS: usize = 20;
+    const FREE: usize = 2;
+    /// Age from which a job has to be counted: `visible_ms` and 2 s.
+    const COUNTED: Duration = Duration::from_secs(5);
+    /// Time for which the workers hang.
+    const HANGING: Duration = Duration::from_millis(6_500);
+    let mut site = Site::start(folder, 2, WORKERS, 3)?;
+    let free = site.fill(WORKERS, FREE)?;
+    sleep(Duration::from_secs(1));
+    let begun = Instant::now();
+    // With `TROUBLE=hang` the workers hang and the owner lives.
+    let hangs = trouble;
+    let trouble = trouble && std::env::var("TROUBLE").as_deref() != Ok("hang");
+    free.iter().filter(|_| hangs).for_each(|index| site.fleet.set_hanging(*index, true));
+    for index in 0..JOBS {
+        let body = r#"{"spec":"ms=1000","phases":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":1000}]}"#;
+        site.submit(0, &format!("5c0e7a21d94b{index:04x}"), body, vec![Step { count: 1, gang: false, checkpointing: false }])?;
+    }
+    let accepted = Instant::now();
+    sleep(Duration::from_millis(500));
+    let owner = site.owner().ok_or("no owner")?;
+    let other = 1 - owner;
+    if trouble {
+        site.fleet.log(&format!("{} owns the work and is killed", site.nodes[owner].name));
+        site.nodes[owner].kill();
+    }
+    sleep((COUNTED + Duration::from_millis(300)).saturating_sub(accepted.elapsed()));
+    let mut broken = None;
+    while begun.elapsed() + Duration::from_millis(100) < HANGING {
+        let (status, body) = site.nodes[other].call("GET", "", "")?;
+        let count = crate::json::Json::parse(&body).and_then(|body| body.num("pending"));
+        let waiting = JOBS - site.fleet.begun_jobs("5c0e7a21d94b0");
+        site.fleet.log(&format!("client: GET pending at {} -> {status} {count:?}; {waiting} jobs haven't begun", site.nodes[other].name));
+        if let Some(count) = count.filter(|count| status == 200 && *count * 2 < waiting as u64) {
+            broken = Some(format!("{count} jobs are given as pending, {waiting} haven't begun"));
+        }
+        sleep(Duration::from_millis(200));
+    }
+    let state = site.nodes[other].state("5c0e7a21d94b0000");
+    site.fleet.log(&format!("client: GET 5c0e7a21d94b0000 -> {state:?}"));
+    free.iter().for_each(|index| site.fleet.set_hanging(*index, false));
+    Ok(broken)
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -63,6 +63,8 @@
     up: bool,
     /// True if it answers starts with 503.
     unhealthy: bool,
+    /// True if it answers no call. It still sends pings.
+    hangs: bool,
     started: Instant,
     born_ms: u64,
     token: u64,
@@ -251,6 +253,7 @@
                 server: Some(server),
                 up: true,
                 unhealthy: false,
+                hangs: false,
                 started: Instant::now(),
                 born_ms: unix_ms(),
                 token: 0,
@@ -341,6 +344,14 @@
         self.lock().workers.iter().filter(|worker| worker.up).map(|worker| worker.runs.len()).sum()
     }
 
+    /// Number of jobs of which a task has begun, by the begin of their ids.
+    pub fn begun_jobs(&self, prefix: &str) -> usize {
+        let state = self.lock();
+        let started = state.seen.iter().filter_map(|event| if let Seen::Started { task, .. } = event { Some(task) } else { None });
+        let jobs = started.filter(|task| task.starts_with(prefix)).filter_map(|task| task.split('.').next());
+        jobs.collect::<std::collections::BTreeSet<_>>().len()
+    }
+
     /// True if nothing runs on a worker.
     pub fn is_idle(&self, index: usize) -> bool {
         self.lock().workers[index].runs.is_empty()
@@ -351,6 +362,12 @@
         self.lock().workers[index].unhealthy = unhealthy;
     }
 
+    pub fn set_hanging(&self, index: usize, hangs: bool) {
+        self.log(&format!("worker {index} hangs: {hangs}"));
+        self.lock().workers[index].hangs = hangs;
+        self.state.1.notify_all();
+    }
+
     /// Crashes a worker: what it runs is lost, with all that it knows.
     pub fn crash(&self, index: usize) {
         self.log(&format!("worker {index} crashes"));
@@ -411,7 +428,11 @@
 
     fn answer(&self, index: usize, request: &Request) -> Option<Response> {
         let mut state = self.lock();
-        if !state.workers[index].up {
+        let hung = state.workers[index].hangs;
+        while state.workers[index].hangs {
+            state = self.state.1.wait(state).unwrap();
+        }
+        if hung || !state.workers[index].up {
             return None;
         }
         if request.path == "/health" {
@@ -518,7 +539,7 @@
         }
         loop {
             let worker = &state.workers[index];
-            if !worker.up || worker.born_ms != born {
+            if !worker.up || worker.hangs || worker.born_ms != born {
                 return None;
             }
             let left = until.saturating_duration_since(Instant::now());
