Wait for ends that a worker has not listed yet

A worker lists 500 ends at a time. reconcile_runs took a run that was listed neither as running nor as ended for one that was never there, although its end could be among those that the worker lists once the first 500 are acknowledged. A new owner needed one such answer, the same owner two.

Until a list has all ends, a run that it lacks stays placed. Such a run is no longer judged as a slow one. A log line says when a worker's list becomes incomplete or complete.

The stand-ins of the suite list 500 ends at a time.

--- a/crates/jobs/src/dispatch/event/mod.rs
+++ b/crates/jobs/src/dispatch/event/mod.rs
@@ -81,8 +81,10 @@
     pub started_ms: u64,
     /// Runs that have not ended.
     pub running: Vec<RunStatus>,
-    /// Ends that are not acknowledged yet.
+    /// Ends that are not acknowledged yet, from the first one on.
     pub ended: Vec<EndedRun>,
+    /// True if further ends may follow, which the worker lists once these are acknowledged.
+    pub more_ended: bool,
 }
 
 /// Outcome of a request to a worker.
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -28,7 +28,7 @@
 /// Largest multiple of that time for a worker without runs. The directory lists workers for some seconds
 /// after they are gone.
 const MAX_BACKOFF_STEPS: u32 = 8;
-/// Consecutive polls that must not list a confirmed run before it counts as lost.
+/// Consecutive polls that must not list a confirmed run before it counts as lost, the last one with all ends.
 const LOST_AFTER_POLLS: u32 = 2;
 /// Time for which a worker with a run of unknown size gets no new tasks, in milliseconds. Longer than the
 /// interval between polls, so that each poll extends it.
@@ -114,6 +114,7 @@
         worker.heard = None;
         worker.poll_soon(now);
         worker.unknown_since = None;
+        worker.more_ended = false;
         worker.acknowledged = 0;
         worker.ack_sent = 0;
         worker.ack_received = 0;
@@ -315,6 +316,13 @@
             worker.grant(now, self.options.max_lease_ms);
             self.unchanged = false;
         }
+        if std::mem::replace(&mut worker.more_ended, status.more_ended) != status.more_ended {
+            log::info!(
+                target: DECISIONS, worker = worker.record.worker.as_str(), more = status.more_ended, ends = status.ended.len(),
+                running = status.running.len(), runs = worker.runs.len();
+                "whether the worker lists all ends has changed"
+            );
+        }
         let unread = self.unread_jobs(now, key, &status);
         self.apply_ends(now, key, &status, &unread);
         self.reconcile_runs(now, sent.steady, key, &status, &unread);
@@ -415,6 +423,8 @@
                         self.unsettled.insert((key, *task));
                     }
                 }
+                // Its end may be among those that are not listed yet.
+                None if status.more_ended => run.unlisted_polls = run.unlisted_polls.max(1),
                 None if run.confirmed.is_some_and(|at| at < sent) => {
                     run.unlisted_polls = run.unlisted_polls.saturating_add(1);
                     if run.unlisted_polls >= LOST_AFTER_POLLS {
--- a/crates/jobs/src/dispatch/systems/stragglers.rs
+++ b/crates/jobs/src/dispatch/systems/stragglers.rs
@@ -111,6 +111,10 @@
         else {
             return false;
         };
+        // It has ended or was never there.
+        if run.unlisted_polls > 0 {
+            return false;
+        }
         let elapsed = now.saturating_sub(started.max(run.placed));
         if elapsed < SLOW_MIN_MS || run.progress >= 100 {
             return false;
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -249,6 +249,8 @@
     pub ack_sent: u64,
     /// Ends that wait for the store: number of the write that contains them and number of the last one.
     pub pending_ack: Option<(u64, u64)>,
+    /// True if its last list of ends may not have been complete.
+    pub more_ended: bool,
     /// Time since which it has listed runs or ends of unknown jobs.
     pub unknown_since: Option<u64>,
     /// Runs that hold resources on it, by task.
@@ -291,6 +293,7 @@
             ack_received: 0,
             ack_sent: 0,
             pending_ack: None,
+            more_ended: false,
             unknown_since: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
--- a/crates/jobs/tests/model/worker.rs
+++ b/crates/jobs/tests/model/worker.rs
@@ -95,7 +95,8 @@
             metric: 0,
         };
         let running = self.runs.iter().map(listed).collect();
-        Ok(WorkerStatus { clock_ms: now, started_ms: self.started_ms, running, ended: self.ended.clone() })
+        let ended = self.ended.clone();
+        Ok(WorkerStatus { clock_ms: now, started_ms: self.started_ms, running, ended, more_ended: false })
     }
 
     pub(super) fn start(&mut self, now: u64, start: &Start, faults: &Faults) -> Outcome {
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -17,6 +17,8 @@
 /// Start time of all workers.
 pub(super) const STARTED_MS: u64 = 7;
 
+/// Ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// Time for which the list shows a machine in upkeep.
 const UPKEEP_TIME: Duration = Duration::from_millis(600);
 
@@ -53,8 +55,13 @@
                 progress: 50,
                 metric: 0,
             });
-            let (running, ended) = (running.collect(), worker.ended.clone());
-            return Ok(WorkerStatus { clock_ms: clock, started_ms: STARTED_MS, running, ended });
+            return Ok(WorkerStatus {
+                clock_ms: clock,
+                started_ms: STARTED_MS,
+                running: running.collect(),
+                ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                more_ended: worker.ended.len() >= MAX_LISTED_ENDS,
+            });
         }
     }
 
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -57,6 +57,8 @@
 const RECORD_BYTES: usize = 262_144;
 /// Duration of a move or of upkeep, in milliseconds.
 const MACHINE_MS: u64 = 1_500;
+/// Ends that a worker lists at a time.
+pub(crate) const MAX_LISTED_ENDS: usize = 500;
 
 /// Run on a simulated worker.
 #[derive(Clone, Debug)]
@@ -947,7 +949,8 @@
             clock_ms: worker.clock(now),
             started_ms: worker.record.started_ms,
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            more_ended: worker.ended.len() >= MAX_LISTED_ENDS,
         })
     }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -8,12 +8,12 @@
 use rattanfall_jobs::dispatch::command::{Command, Start, Target};
 use rattanfall_jobs::dispatch::event::{Outcome, WorkerRecord, WorkerStatus};
 use rattanfall_jobs::dispatch::options::Options;
-use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::ids::{JobId, TaskId};
 use rattanfall_jobs::record::Intake;
-use rattanfall_jobs::spec::Step;
+use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::JobState;
 use rstest::rstest;
-use support::{UNIX, World, cores, job, step};
+use support::{UNIX, World, cores, job, step, task};
 
 #[test]
 fn a_new_owner_adopts_what_runs() {
@@ -136,6 +136,56 @@
     assert!(world.dispatcher.fenced_out());
 }
 
+/// Tasks that a worker can run all at once, more than twice as many as the ends that it lists at a time.
+fn many_tasks(world: &mut World) -> u16 {
+    let count = 1_100;
+    let need = Resources { cpu: 10, memory: 16, accelerators: 0 };
+    world.run_for(500);
+    world.submit(job(1, vec![step(u32::from(count), need, 3_000)]));
+    world.run_for(1_500);
+    assert_eq!(world.starts.len(), usize::from(count));
+    count
+}
+
+/// Guards against second starts, by a new owner, of tasks whose ends a worker doesn't list yet, since it lists 500 at a time.
+#[test]
+fn a_new_owner_waits_for_ends_that_are_not_listed_yet() {
+    let mut world = World::new(1);
+    let count = many_tasks(&mut world);
+    let id = world.worker_on("red-00");
+    let worker = world.workers.get_mut(&id).expect("it is known");
+    worker.partitioned = true;
+    // Their starts got lost.
+    let unbegun = [task(1, 0, 3), task(1, 0, 700), task(1, 0, count - 1)];
+    unbegun.iter().for_each(|task| drop(worker.runs.remove(task)));
+    world.run_for(2_500);
+    assert_eq!(world.running(), []);
+    world.workers.get_mut(&id).expect("it is known").partitioned = false;
+    world.take_over();
+    world.run_for(6_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+    let again: Vec<TaskId> = world.starts[usize::from(count)..].iter().map(|(_, task, _, _)| *task).collect();
+    assert_eq!(again, unbegun);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// Guards against second starts of tasks whose ends a worker doesn't list yet, since the store doesn't take the first 500, and
+/// against stops of such runs as slow ones.
+#[test]
+fn an_owner_waits_for_ends_that_are_not_listed_while_the_store_is_down() {
+    let mut world = World::new(1);
+    let count = many_tasks(&mut world);
+    world.down = true;
+    world.run_for(5_000);
+    assert_eq!(world.running(), []);
+    world.down = false;
+    world.run_for(6_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.starts.len(), usize::from(count));
+    assert_eq!(world.stops, []);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
 /// Guards against the stop of a long-running task, beyond what its step tolerates, because three answers to its start are missing.
 #[test]
 fn a_long_running_task_is_not_stopped_for_missing_answers_to_its_start() {
@@ -206,6 +256,7 @@
                     started_ms: 0,
                     running: Vec::new(),
                     ended: Vec::new(),
+                    more_ended: false,
                 };
                 world.dispatcher.polled(now, &worker, Ok(seen));
             }
@@ -331,8 +382,13 @@
         for command in d.take_commands() {
             match command {
                 Command::Poll(poll) => {
-                    let seen =
-                        WorkerStatus { clock_ms: 1_000 + now, started_ms, running: vec![], ended: vec![] };
+                    let seen = WorkerStatus {
+                        clock_ms: 1_000 + now,
+                        started_ms,
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                        more_ended: false,
+                    };
                     let answer = if reached { Ok(seen) } else { Err(Outcome::Unsent) };
                     d.polled(now, &poll.target.worker, answer);
                 }
@@ -364,7 +420,13 @@
     d.update_worker(now + 6, record);
     d.tick(now + 7);
     drop(d.take_commands());
-    let seen = WorkerStatus { clock_ms: 1_010 + now, started_ms, running: Vec::new(), ended: Vec::new() };
+    let seen = WorkerStatus {
+        clock_ms: 1_010 + now,
+        started_ms,
+        running: Vec::new(),
+        ended: Vec::new(),
+        more_ended: false,
+    };
     // The first answer shows the new process, the second one that it refuses orders to the former one.
     d.polled(now + 8, &worker, Ok(seen.clone()));
     d.tick(now + 8);
@@ -543,5 +605,5 @@
     world.run_for(1_000);
     let kept: Vec<&String> = world.stored.values().filter(|e| !e.value.is_empty()).map(|e| &e.key).collect();
     assert_eq!(kept, [&JobId(2).to_string()]);
-    assert_eq!(world.running(), [support::task(2, 0, 0)]);
+    assert_eq!(world.running(), [task(2, 0, 0)]);
 }
