Remove the runs of a worker only after a second list that lacks it

A second list, asked for stop_timeout_ms after the first one, must lack the worker, too. A log line shows the first one.

--- a/crates/jobs/src/dispatch/systems/fleet/mod.rs
+++ b/crates/jobs/src/dispatch/systems/fleet/mod.rs
@@ -284,20 +284,34 @@
 
     /// Requeues the tasks of workers that are gone: a worker that does not answer and runs on no listed
     /// machine has ended, even if its leases have not expired. Starts that are under way may reach its next process.
+    ///
+    /// A list may show the end of a process before it has ended, so a later one must lack the worker, too.
     fn requeue_gone_workers(&mut self, now: u64, asked: u64) {
         let rows = self.fleet.rows.values();
         let present: BTreeSet<&str> = rows.filter_map(|row| row.machine.worker.as_deref()).collect();
-        let gone = |worker: &Worker| {
-            !worker.runs.is_empty()
-                && !worker.usable()
-                && worker.known_since + LIST_DELAY_MS < asked
-                && !present.contains(worker.record.worker.as_str())
-        };
-        let keys: Vec<WorkerKey> =
-            self.workers.iter().filter(|(_, worker)| gone(worker)).map(|(key, _)| key).collect();
-        for key in keys {
-            let lost = |run: &Run| !run.may_start() && run.placed < asked;
-            let evidence = Evidence::new("the machine no longer runs the worker", asked);
+        let stop_ms = self.options.stop_ms;
+        let mut gone = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if worker.usable() || present.contains(worker.record.worker.as_str()) {
+                worker.unnamed_since = None;
+                continue;
+            }
+            if worker.unnamed_since.is_none() && !worker.runs.is_empty() {
+                log::info!(
+                    target: DECISIONS, worker = worker.record.worker.as_str(), runs = worker.runs.len(),
+                    silent_ms = now.saturating_sub(worker.last_answer()), asked_ms = now.saturating_sub(asked);
+                    "the list of machines doesn't name the worker, which doesn't answer"
+                );
+            }
+            let since = *worker.unnamed_since.get_or_insert(asked);
+            let known = worker.known_since + LIST_DELAY_MS < asked;
+            if known && asked >= since + stop_ms && !worker.runs.is_empty() {
+                gone.push((key, since));
+            }
+        }
+        for (key, since) in gone {
+            let lost = |run: &Run| !run.may_start() && run.placed < since;
+            let evidence = Evidence::new("the machine no longer runs the worker", since);
             self.mark_some_lost(now, key, evidence, lost);
         }
     }
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -265,6 +265,8 @@
     pub emptying: bool,
     /// True while lists lack its machine, which is due for upkeep.
     pub missing: bool,
+    /// Request of the first list of machines that didn't name it; none if the last one did or if it answers.
+    pub unnamed_since: Option<u64>,
 }
 
 impl Worker {
@@ -301,6 +303,7 @@
             excluded_until: 0,
             emptying: false,
             missing: false,
+            unnamed_since: None,
         }
     }
 
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -211,6 +211,8 @@
     boots: u64,
     /// Killed workers with their machines.
     killed: BTreeMap<String, String>,
+    /// Workers whose machines are listed as down while their processes still run, with the times of their ends.
+    ending: Vec<(u64, String)>,
     epoch: u64,
 }
 
@@ -377,6 +379,7 @@
             violations: Vec::new(),
             boots: 0,
             killed: BTreeMap::new(),
+            ending: Vec::new(),
             epoch: 1,
         };
         for (pool, count) in pools {
@@ -688,6 +691,16 @@
         }
     }
 
+    /// Crashes the worker of a machine. Its process answers nothing from now on, and ends after a time.
+    pub(crate) fn crash_slowly(&mut self, machine: &str, ms: u64) {
+        let id = self.worker_on(machine);
+        let mut worker = self.workers.remove(&id).expect("the worker is up");
+        self.crash(machine);
+        worker.partitioned = true;
+        self.workers.insert(id.clone(), worker);
+        self.ending.push((self.now + ms, id));
+    }
+
     /// Id of the worker on a machine.
     pub(crate) fn worker_on(&self, machine: &str) -> String {
         self.machines[machine].0.worker.clone().expect("the machine has a worker")
@@ -695,6 +708,9 @@
 
     fn run_workers(&mut self) {
         let now = self.now;
+        for (_, id) in self.ending.extract_if(.., |(end, _)| *end <= now) {
+            self.workers.remove(&id);
+        }
         for worker in self.workers.values_mut() {
             let clock = worker.clock(now);
             let lost = if worker.stuck { ROUND_MS } else { ROUND_MS - ROUND_MS / worker.slowness };
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -101,6 +101,27 @@
     assert!(world.starts[1].0 < at + 3_500, "restarted at {}", world.starts[1].0);
 }
 
+/// Guards against a second start of a task beside its first run: a list of machines can show the end of a worker shortly before its
+/// process has ended.
+#[rstest]
+#[case::at_once(0)]
+#[case::soon(220)]
+#[case::as_late_as_a_stop(Options::default().stop_ms)]
+fn a_task_of_a_worker_that_ends_after_its_machine_is_listed_as_down_runs_once(#[case] ms: u64) {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(1, cores(1), 30_000)]));
+    world.run_for(1_500);
+    let (_, _, _, worker) = world.starts[0].clone();
+    let machine = world.workers[&worker].machine.clone();
+    let crashed = world.now;
+    world.crash_slowly(&machine, ms);
+    while world.starts.len() < 2 {
+        world.round();
+        assert_eq!(world.running_twice(), []);
+        assert!(world.now < crashed + 3_500, "the task has not started again");
+    }
+}
+
 #[test]
 fn a_cancellation_that_the_former_owner_did_not_act_on_is_carried_out() {
     let mut world = World::new(1);
