Keep the runs of a worker for a time after another one has its address

An answer 421 to a poll, a start or a stop removed all runs of the former worker at once, so their tasks ran a second time beside the first if its process ended later than its address changed hands.

The first such answer closes the worker. Its runs are removed by one that comes stop_timeout_ms later, by the lists of machines or by their leases. A start that was refused so and never sent before is placed elsewhere at once.

a_task_of_a_worker_that_ends_after_its_address_was_given_away_runs_once failed before in four of six cases.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -105,7 +105,8 @@
     pub fn started(&mut self, now: u64, start: &Start, outcome: Outcome) {
         let (id, task, number) = (start.target.worker.as_str(), start.task, start.run);
         let Some(key) = self.worker_key(id) else { return };
-        if outcome == Outcome::Replaced && self.end_replaced(now, key, &start.target, start.token) {
+        let replaced = outcome == Outcome::Replaced && self.is_current(key, &start.target, start.token);
+        if replaced && self.end_replaced(now, key) {
             return;
         }
         self.note_answer(now, key, start.token, outcome);
@@ -133,6 +134,10 @@
             // The present process refuses orders to a former one; its list of runs tells what that one had begun.
             Outcome::Fenced if outdated => {}
             Outcome::Fenced => self.fenced_out = true,
+            // No process of the worker has got it.
+            Outcome::Replaced if replaced && !repeated && run.confirmed.is_none() => {
+                self.requeue(now, key, task, Evidence::new("another worker has the address", now));
+            }
             Outcome::Replaced => {
                 run.next_order = Some(now + REPEAT_MS);
                 self.unsettled.insert((key, task));
@@ -230,7 +235,11 @@
                 self.fenced_out = true;
                 return;
             }
-            Outcome::Replaced if self.end_replaced(now, key, &stop.target, stop.token) => return,
+            Outcome::Replaced
+                if self.is_current(key, &stop.target, stop.token) && self.end_replaced(now, key) =>
+            {
+                return;
+            }
             _ => {}
         }
         self.note_answer(now, key, stop.token, outcome);
@@ -259,15 +268,25 @@
         }
     }
 
-    /// Counts the runs of a worker as lost, since another worker has the address to which an order was sent. False if the
-    /// worker has restarted or has another address by now, so that the answer proves nothing.
-    fn end_replaced(&mut self, now: u64, key: WorkerKey, sent: &Target, token: u64) -> bool {
+    /// False if a worker has restarted or has another address since an order was sent, so that an answer about the address proves
+    /// nothing.
+    fn is_current(&self, key: WorkerKey, sent: &Target, token: u64) -> bool {
         let current = |worker: &Worker| worker.token == token && worker.record.address == sent.address;
-        let replaced = self.workers.get(key).is_some_and(current);
-        if replaced {
-            self.mark_runs_lost(now, key, Evidence::new("another worker has the address", now));
-        }
-        replaced
+        self.workers.get(key).is_some_and(current)
+    }
+
+    /// Closes a worker of whose address another one has answered, and counts its runs as lost once that has been so for the longest
+    /// time of a stop. True if they are.
+    pub(super) fn end_replaced(&mut self, now: u64, key: WorkerKey) -> bool {
+        let stop_ms = self.options.stop_ms;
+        let Some(worker) = self.workers.get_mut(key) else { return false };
+        let Some(since) = worker.note_replaced(now, stop_ms) else {
+            worker.require_answer(now);
+            self.requeue_unsent(now, key);
+            return false;
+        };
+        self.mark_runs_lost(now, key, Evidence::new("another worker has the address", since));
+        true
     }
 
     /// Repeats the orders that are due.
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -62,6 +62,7 @@
         }
         if worker.record.address != record.address {
             worker.disown_poll();
+            worker.replaced_since = None;
         }
         if worker.record.address != record.address || !worker.listed {
             worker.poll_soon(now);
@@ -243,12 +244,9 @@
             Ok(status) => self.apply_status(now, sent, wait_ms, key, status),
             Err(Outcome::Fenced) if token == worker.token => self.fenced_out = true,
             Err(Outcome::Replaced) if token == worker.token => {
-                let evidence = Evidence::new("another worker has the address", sent.steady);
-                self.mark_runs_lost(now, key, evidence);
-                if let Some(worker) = self.workers.get_mut(key) {
-                    worker.listed = false;
-                    worker.missed_polls += 1;
-                }
+                worker.listed = false;
+                worker.missed_polls = worker.missed_polls.saturating_add(1);
+                self.end_replaced(now, key);
             }
             Err(outcome) => {
                 worker.missed_polls = worker.missed_polls.saturating_add(1);
@@ -310,6 +308,7 @@
         }
         worker.missed_polls = 0;
         worker.silent = false;
+        worker.replaced_since = None;
         if !worker.fenced {
             worker.fenced = true;
             // Until now orders of a former owner or to a former process could extend its leases.
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -267,6 +267,8 @@
     pub missing: bool,
     /// Request of the first list of machines that didn't name it; none if the last one did or if it answers.
     pub unnamed_since: Option<u64>,
+    /// Time since which another worker answers at its address; none if it answers or has another address.
+    pub replaced_since: Option<u64>,
 }
 
 impl Worker {
@@ -304,6 +306,7 @@
             emptying: false,
             missing: false,
             unnamed_since: None,
+            replaced_since: None,
         }
     }
 
@@ -328,6 +331,13 @@
         self.contact = Some(Contact { since, at: if prompt { at } else { sent }, read: at.steady, clock_ms });
     }
 
+    /// Records that another worker answered at its address. Returns the time of the first such answer if it was at least `stop_ms`
+    /// ago: the process may end some time after its address was given away.
+    pub fn note_replaced(&mut self, now: u64, stop_ms: u64) -> Option<u64> {
+        let since = *self.replaced_since.get_or_insert(now);
+        (now >= since + stop_ms).then_some(since)
+    }
+
     /// Has it polled at once, or as soon as the poll under way has an outcome.
     pub const fn poll_soon(&mut self, now: u64) {
         if matches!(self.poll_state, PollState::Idle(_)) {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -213,6 +213,8 @@
     killed: BTreeMap<String, String>,
     /// Workers whose machines are listed as down while their processes still run, with the times of their ends.
     ending: Vec<(u64, String)>,
+    /// Workers at whose addresses other workers answer.
+    replaced: BTreeSet<String>,
     epoch: u64,
 }
 
@@ -380,6 +382,7 @@
             boots: 0,
             killed: BTreeMap::new(),
             ending: Vec::new(),
+            replaced: BTreeSet::new(),
             epoch: 1,
         };
         for (pool, count) in pools {
@@ -701,6 +704,13 @@
         self.ending.push((self.now + ms, id));
     }
 
+    /// Gives the address of a machine's worker to another worker. Its process ends after a time.
+    pub(crate) fn replace_slowly(&mut self, machine: &str, ms: u64) {
+        let id = self.worker_on(machine);
+        self.replaced.insert(id.clone());
+        self.ending.push((self.now + ms, id));
+    }
+
     /// Id of the worker on a machine.
     pub(crate) fn worker_on(&self, machine: &str) -> String {
         self.machines[machine].0.worker.clone().expect("the machine has a worker")
@@ -926,6 +936,9 @@
 
     pub(crate) fn poll(&mut self, poll: &Poll) -> Result<WorkerStatus, Outcome> {
         let now = self.now;
+        if self.replaced.contains(&poll.target.worker) {
+            return Err(Outcome::Replaced);
+        }
         let metrics = &self.metrics;
         let received = self.delayed && self.orders_outlast;
         let worker = self.workers.get_mut(&poll.target.worker);
@@ -972,6 +985,9 @@
 
     fn start(&mut self, start: &Start) -> Outcome {
         let now = self.now;
+        if self.replaced.contains(&start.target.worker) {
+            return Outcome::Replaced;
+        }
         let length = self.length(start.task);
         let reason =
             if self.failing_jobs.contains(&start.task.job) { EndReason::Failed } else { EndReason::Done };
@@ -1030,6 +1046,9 @@
 
     fn stop(&mut self, stop: &Stop) -> Outcome {
         self.stops.push((self.now, stop.task, stop.target.worker.clone()));
+        if self.replaced.contains(&stop.target.worker) {
+            return Outcome::Replaced;
+        }
         let received = self.delayed && self.orders_outlast;
         let worker = self.workers.get_mut(&stop.target.worker);
         let Some(worker) = worker.filter(|worker| received || !worker.partitioned) else {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -122,6 +122,32 @@
     }
 }
 
+/// Guards against a second start of a task beside its first run: the address of a worker can be given to another one shortly before
+/// its process has ended. A stop of another task of the worker may be the first to find out.
+#[rstest]
+fn a_task_of_a_worker_that_ends_after_its_address_was_given_away_runs_once(
+    #[values(0, 220, Options::default().stop_ms)] ms: u64,
+    #[values(false, true)] stops: bool,
+) {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(1, cores(1), 30_000)]));
+    world.submit(job(2, vec![step(1, cores(1), 30_000)]));
+    world.run_for(1_500);
+    let (_, first, _, worker) = world.starts[0].clone();
+    let machine = world.workers[&worker].machine.clone();
+    let given_away = world.now;
+    world.replace_slowly(&machine, ms);
+    world.machines_unread = true;
+    if stops {
+        world.cancel(if first.job == JobId(1) { 2 } else { 1 });
+    }
+    while world.starts.iter().filter(|(_, started, ..)| *started == first).count() < 2 {
+        world.round();
+        assert_eq!(world.running_twice(), []);
+        assert!(world.now < given_away + 3_500, "the task has not started again");
+    }
+}
+
 #[test]
 fn a_cancellation_that_the_former_owner_did_not_act_on_is_carried_out() {
     let mut world = World::new(1);
