Start the members of a gang with one checkpoint

PROTOCOL.md: "The value from any member of a gang is valid for that gang, and all must carry the same value."

A checkpoint that a worker shows for a member becomes that of all members unless a newer one is known, by run and by time of the list. The rows are stored together, so the value outlives a takeover, a stop and a move. Unequal rows, from an earlier release or a write that was stored in part, are aligned when the members are placed.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
 use parts::StoredParts;
-use systems::{Durations, Fleet, Losses, PolicyTickets, StaleJobs, Stragglers, Track};
+use systems::{Durations, Fleet, GangCheckpoints, Losses, PolicyTickets, StaleJobs, Stragglers, Track};
 pub use systems::{Exclusions, PoolLoad, WaveProgress};
 use worker::{Moment, PollState, Worker, WorkerKey};
 
@@ -188,6 +188,7 @@
     losses: Losses,
     durations: Durations,
     stragglers: Stragglers,
+    gang_checkpoints: GangCheckpoints,
     policy_tickets: PolicyTickets,
     fleet: Fleet,
     /// Counters since this owner started.
@@ -260,6 +261,7 @@
             losses: Losses::default(),
             durations: Durations::default(),
             stragglers: Stragglers::default(),
+            gang_checkpoints: GangCheckpoints::default(),
             policy_tickets: PolicyTickets::default(),
             fleet: Fleet::default(),
             counters: Counters::default(),
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -1,6 +1,7 @@
 //! Systems that read and change the dispatcher's tables.
 
 mod backlog;
+mod checkpoints;
 mod durations;
 mod fleet;
 mod jobs;
@@ -18,6 +19,7 @@
 mod views;
 
 pub(super) use backlog::{StaleJobs, Track};
+pub(super) use checkpoints::GangCheckpoints;
 pub(super) use durations::Durations;
 pub(super) use fleet::Fleet;
 pub use fleet::WaveProgress;
--- a/crates/jobs/src/dispatch/systems/placing/mod.rs
+++ b/crates/jobs/src/dispatch/systems/placing/mod.rs
@@ -289,6 +289,7 @@
             self.place_task(now, rooms, key, task, run, policy.is_some());
             placed.push((key, task, previous_run));
         }
+        self.align_checkpoints(tasks);
         true
     }
 
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -401,6 +401,7 @@
             match listed {
                 Some(listed) => {
                     run.listed = true;
+                    run.listed_at = now;
                     if run.confirmed.is_none() {
                         run.confirmed = Some(now);
                         begun.push(task.job);
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -45,6 +45,7 @@
             speed_known: true,
             long_running: step.long_running,
             checkpoint: String::new(),
+            listed_at: 0,
             target_ms: step.target_ms.filter(|_| step.long_running && !step.best_effort),
             best_effort: step.best_effort,
             last_change: now,
@@ -100,10 +101,8 @@
             && row.run == run.number
         {
             row.state = TaskState::Waiting;
-            if !run.checkpoint.is_empty() {
-                row.checkpoint.clone_from(&run.checkpoint);
-            }
             self.touch(task.job);
+            self.save_checkpoint(run.listed_at, task, run.number, run.checkpoint);
         }
     }
 
@@ -159,7 +158,6 @@
         let step = &job.submission.steps[usize::from(task.step)];
         let (long_running, gang) = (step.long_running, step.gang);
         let attempts = self.terms(&job.submission).attempts;
-        let checkpoint_bytes = self.options.checkpoint_bytes;
         let Some(job) = self.table.get_mut(task.job) else { return };
         let Some(row) = job.progress.task_mut(&job.submission, task) else { return };
         let current = row.placed() && row.run == end.run && run.is_some();
@@ -173,13 +171,6 @@
             }
         } else if current {
             row.state = TaskState::Waiting;
-            let listed = run.map(|run| run.checkpoint).unwrap_or_default();
-            let newest = if end.checkpoint.is_empty() { listed } else { end.checkpoint.clone() };
-            if newest.len() > checkpoint_bytes {
-                log::warn!(task:% = task, bytes = newest.len(); "the checkpoint is too large to be stored");
-            } else if !newest.is_empty() {
-                row.checkpoint = newest;
-            }
         }
         let counts = end.reason == EndReason::Failed && !long_running && row.state != TaskState::Done;
         let failed = counts && row.record_failure(end.run);
@@ -188,6 +179,13 @@
             return;
         }
         self.touch(task.job);
+        if let Some(run) = run.filter(|_| current && !finished) {
+            if end.checkpoint.is_empty() {
+                self.save_checkpoint(run.listed_at, task, run.number, run.checkpoint);
+            } else {
+                self.save_checkpoint(now, task, run.number, end.checkpoint.clone());
+            }
+        }
         if !finished {
             log::info!(
                 task:% = task, run = end.run, how:? = end.reason, failures = failures,
@@ -283,6 +281,7 @@
         self.remove_tickets(id);
         self.durations.forget(id);
         self.stragglers.forget(id);
+        self.gang_checkpoints.forget(id);
         self.stop_job_runs(now, id);
     }
 
--- a/crates/jobs/src/dispatch/worker/mod.rs
+++ b/crates/jobs/src/dispatch/worker/mod.rs
@@ -88,6 +88,8 @@
     pub long_running: bool,
     /// Newest checkpoint that the worker listed; empty if there is none.
     pub checkpoint: String,
+    /// Time of the last list that has the run; 0 before the first.
+    pub listed_at: u64,
     /// Response time target of a serving task, in milliseconds.
     pub target_ms: Option<u64>,
     /// True if the task uses only processor time that others leave.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -169,6 +169,10 @@
     pub(crate) metrics: BTreeMap<TaskId, u64>,
     /// Checkpoint that all runs report.
     pub(crate) checkpoint: String,
+    /// Checkpoints that runs of single tasks report, also with their ends.
+    pub(crate) checkpoints: BTreeMap<TaskId, String>,
+    /// Checkpoints with which the runs of gangs were started, by step and number.
+    gang_starts: BTreeMap<(StepId, u32), String>,
     pub(crate) peak_cpu: u64,
     /// Time from a stop order until the run has ended.
     pub(crate) stop_ms: u64,
@@ -359,6 +363,8 @@
             failing_jobs: BTreeSet::new(),
             metrics: BTreeMap::new(),
             checkpoint: String::new(),
+            checkpoints: BTreeMap::new(),
+            gang_starts: BTreeMap::new(),
             peak_cpu: 0,
             stop_ms: 0,
             delayed_orders: Vec::new(),
@@ -687,9 +693,12 @@
             *back = Some((self.now + CRASH_DOWNTIME_MS, row.pool.clone()));
             let id = row.worker.take();
             if let Some(id) = id {
-                self.workers.remove(&id);
+                let worker = self.workers.remove(&id);
                 self.directory.remove(&id);
                 self.dispatcher.unlist_worker(&id);
+                for (task, run) in worker.into_iter().flat_map(|worker| worker.runs) {
+                    self.break_gang(task, run.number);
+                }
             }
         }
     }
@@ -754,7 +763,7 @@
                     task,
                     run: run.number,
                     reason,
-                    checkpoint: String::new(),
+                    checkpoint: self.checkpoints.get(&task).cloned().unwrap_or_default(),
                 });
             }
             let used: u64 = worker.runs.values().map(|run| run.need.cpu).sum();
@@ -970,7 +979,7 @@
         let running = worker.runs.iter().map(|(task, run)| RunStatus {
             task: *task,
             run: run.number,
-            checkpoint: self.checkpoint.clone(),
+            checkpoint: self.checkpoints.get(task).unwrap_or(&self.checkpoint).clone(),
             progress: progress(run, now),
             metric: metrics.get(task).copied().unwrap_or(0),
         });
@@ -993,6 +1002,7 @@
             if self.failing_jobs.contains(&start.task.job) { EndReason::Failed } else { EndReason::Done };
         let need = self.need(start.task);
         let label = self.step_of(start.task).label.clone();
+        let gang = self.step_of(start.task).gang;
         let received = self.delayed && self.orders_outlast;
         let worker = self.workers.get_mut(&start.target.worker);
         let Some(worker) = worker.filter(|worker| received || !worker.partitioned) else {
@@ -1015,6 +1025,12 @@
                     .push(format!("{} started at {now} beside its run {}", start.task, run.number));
             }
             self.starts.push((now, start.task, start.run, start.target.worker.clone()));
+            if gang {
+                let known = self.gang_starts.entry((start.task.step_id(), start.run));
+                if *known.or_insert_with(|| start.checkpoint.clone()) != start.checkpoint {
+                    self.violations.push(format!("{} started at {now} alone, by its checkpoint", start.task));
+                }
+            }
             if label.is_some_and(|label| !worker.record.labels.contains(&label)) {
                 self.violations
                     .push(format!("{} started at {now} on a worker without its label", start.task));
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -204,7 +204,7 @@
     worker.partitioned = true;
     // Their starts got lost.
     let unbegun = [task(1, 0, 3), task(1, 0, 700), task(1, 0, count - 1)];
-    unbegun.iter().for_each(|task| drop(worker.runs.remove(task)));
+    worker.runs.retain(|task, _| !unbegun.contains(task));
     world.run_for(2_500);
     assert_eq!(world.running(), []);
     world.workers.get_mut(&id).expect("it is known").partitioned = false;
