Count each failed run of a task once, whatever its number

It kept one bit for each failed run under its number modulo 64, and refused starts take numbers, so failed runs whose numbers differ by 64 counted once.

A task keeps the numbers of its failed runs in at most 40 bytes and counts the older ones. They follow the tasks of a record, so that records of the former form are read and earlier releases read new ones.

--- a/crates/jobs/src/dispatch/options/mod.rs
+++ b/crates/jobs/src/dispatch/options/mod.rs
@@ -6,7 +6,7 @@
 const WHOLE_DIVISOR: usize = 8;
 /// Largest size of a stored task without its checkpoint, in bytes. The id of a worker is a key of the store, which has at
 /// most 255 bytes.
-const MAX_TASK_BYTES: usize = 320;
+const MAX_TASK_BYTES: usize = 344;
 
 /// Options of a dispatcher.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/jobs/src/record/mod.rs
+++ b/crates/jobs/src/record/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -14,7 +15,7 @@
 use crate::ids::{JobId, PartId};
 use crate::spec::Submission;
 use crate::summary::{Summary, SummaryChange};
-use crate::table::{Progress, Task};
+use crate::table::{FailedRuns, Progress, Task};
 
 /// Version of the encoding, stored in the first byte of each record.
 const VERSION: u8 = 1;
@@ -180,6 +181,32 @@
     }
 }
 
+/// Failed runs of those among some tasks that have any, by position. They follow the tasks in a record; releases that know only the
+/// bits in the tasks ignore them.
+fn failed_runs<'a>(tasks: impl IntoIterator<Item = &'a Task>) -> Vec<(u32, &'a FailedRuns)> {
+    let failed = (0..).zip(tasks).filter_map(|(position, task)| Some((position, task.failed_runs()?)));
+    failed.collect()
+}
+
+fn set_failed_runs<'a>(tasks: impl Iterator<Item = &'a mut Task>, failed: Vec<(u32, FailedRuns)>) {
+    let mut failed = failed.into_iter().peekable();
+    for (position, task) in (0..).zip(tasks) {
+        if let Some((_, runs)) = failed.next_if(|(failed, _)| *failed == position) {
+            task.set_failed_runs(runs);
+        }
+    }
+}
+
+/// Decodes tasks with the failed runs that follow them; none in a record of an earlier release.
+fn decode_with_failures<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, Vec<(u32, FailedRuns)>), BadRecord> {
+    match decode(bytes) {
+        Err(BadRecord::Content(postcard::Error::DeserializeUnexpectedEnd)) => {
+            decode(bytes).map(|tasks| (tasks, Vec::new()))
+        }
+        decoded => decoded,
+    }
+}
+
 fn encode(value: &impl Serialize) -> Vec<u8> {
     match postcard::to_extend(value, vec![VERSION]) {
         Ok(encoded) => encoded,
@@ -225,13 +252,14 @@
 /// Creates the progress record of a job.
 #[must_use]
 pub fn progress(id: JobId, progress: &Progress) -> Entry {
-    Entry { key: id.to_string(), value: encode(progress) }
+    let tasks = progress.occurrences.iter().flat_map(|occurrence| &occurrence.tasks);
+    Entry { key: id.to_string(), value: encode(&(progress, failed_runs(tasks))) }
 }
 
 /// Creates the record of a part of a job's progress.
 #[must_use]
 pub fn part(id: PartId, tasks: &[Task]) -> Entry {
-    Entry { key: id.to_string(), value: encode(&tasks) }
+    Entry { key: id.to_string(), value: encode(&(tasks, failed_runs(tasks))) }
 }
 
 /// Creates the record that deletes a part of a job's progress.
@@ -342,12 +370,16 @@
         return Ok(if deleted {
             Change::PartDropped(part)
         } else {
-            Change::Part(part, decode(&entry.value)?)
+            let (mut tasks, failed): (Vec<Task>, _) = decode_with_failures(&entry.value)?;
+            set_failed_runs(tasks.iter_mut(), failed);
+            Change::Part(part, tasks)
         });
     }
     let id: JobId = entry.key.parse().map_err(|_| BadRecord::Key)?;
     if entry.value.is_empty() {
         return Ok(Change::Dropped(id));
     }
-    Ok(Change::Job(id, decode(&entry.value)?))
+    let (mut progress, failed): (Progress, _) = decode_with_failures(&entry.value)?;
+    set_failed_runs(progress.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.tasks), failed);
+    Ok(Change::Job(id, progress))
 }
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -16,7 +16,9 @@
 use crate::record::{Change, Intake, LastOrder, Owner};
 use crate::spec::Submission;
 
-pub use progress::{Occurrence, PART_TASKS, Phase, Placement, Progress, Task, TaskState, each_task};
+pub use progress::{
+    FailedRuns, Occurrence, PART_TASKS, Phase, Placement, Progress, Task, TaskState, each_task,
+};
 
 /// State of a job as callers see it, in the order in which a job passes through them. Stored records contain the
 /// index of the variant.
--- a/crates/jobs/src/table/progress.rs
+++ b/crates/jobs/src/table/progress.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::ids::{PartId, TaskId};
 use crate::spec::Submission;
@@ -15,6 +15,9 @@
 /// Number of tasks in a part. All owners use the same, so that parts of two owners never overlap.
 pub const PART_TASKS: usize = 128;
 
+/// Largest size of the numbers of a task's failed runs, in bytes; at least eight numbers, and 40 that follow each other closely.
+const MAX_NUMBER_BYTES: u32 = 40;
+
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
@@ -49,35 +52,43 @@
 }
 
 /// Task with its runs.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Task {
     /// State as decided by the owner.
     pub state: TaskState,
     /// Number of the last run; 0 before the first.
     pub run: u32,
-    /// Failed runs, one bit per run number modulo 64, so that an end that is reported again counts once.
-    failed: u64,
+    /// Failed runs; none without one.
+    failed: Option<Box<FailedRuns>>,
     /// Newest checkpoint; empty if there is none.
     pub checkpoint: String,
 }
 
 impl Task {
     const fn new(state: TaskState) -> Self {
-        Self { state, run: 0, failed: 0, checkpoint: String::new() }
+        Self { state, run: 0, failed: None, checkpoint: String::new() }
     }
 
     /// Records the failure of a run. False if it was recorded before.
-    pub const fn record_failure(&mut self, run: u32) -> bool {
-        let bit = 1 << (run % u64::BITS);
-        let fresh = self.failed & bit == 0;
-        self.failed |= bit;
-        fresh
+    pub fn record_failure(&mut self, run: u32) -> bool {
+        self.failed.get_or_insert_default().insert(run)
     }
 
     /// Number of failed runs.
     #[must_use]
-    pub const fn failures(&self) -> u32 {
-        self.failed.count_ones()
+    pub fn failures(&self) -> u32 {
+        self.failed.as_ref().map_or(0, |failed| failed.count())
+    }
+
+    /// Failed runs; none without one.
+    #[must_use]
+    pub fn failed_runs(&self) -> Option<&FailedRuns> {
+        self.failed.as_deref()
+    }
+
+    /// Replaces the failed runs.
+    pub fn set_failed_runs(&mut self, failed: FailedRuns) {
+        self.failed = Some(Box::new(failed));
     }
 
     /// True if the task may be running.
@@ -87,6 +98,116 @@
     }
 }
 
+/// Numbers of the failed runs of a task, so that an end that is reported again counts once.
+///
+/// The oldest of many are only counted. An end that is reported again after that counts only if its number is higher.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "StoredRuns", into = "StoredRuns")]
+pub struct FailedRuns {
+    /// Ascending.
+    numbers: Vec<u32>,
+    /// Number of the older ones.
+    older: u32,
+    /// Highest number among the older ones.
+    floor: u32,
+}
+
+impl FailedRuns {
+    /// Adds a run. False if it was added before.
+    fn insert(&mut self, run: u32) -> bool {
+        if self.older > 0 && run <= self.floor {
+            return false;
+        }
+        let Err(position) = self.numbers.binary_search(&run) else { return false };
+        self.numbers.insert(position, run);
+        while self.distances().map(varint_bytes).sum::<u32>() > MAX_NUMBER_BYTES {
+            self.floor = self.numbers.remove(0);
+            self.older += 1;
+        }
+        true
+    }
+
+    /// Distance of each number from the one before, and of the first one from the floor.
+    fn distances(&self) -> impl Iterator<Item = u32> {
+        let before = std::iter::once(&self.floor).chain(&self.numbers);
+        self.numbers.iter().zip(before).map(|(number, before)| number - before)
+    }
+
+    fn count(&self) -> u32 {
+        self.older.saturating_add(u32::try_from(self.numbers.len()).unwrap_or(u32::MAX))
+    }
+}
+
+/// Stored form of failed runs.
+#[derive(Deserialize, Serialize)]
+struct StoredRuns {
+    distances: Vec<u32>,
+    older: u32,
+    floor: u32,
+}
+
+impl From<FailedRuns> for StoredRuns {
+    fn from(failed: FailedRuns) -> Self {
+        Self { distances: failed.distances().collect(), older: failed.older, floor: failed.floor }
+    }
+}
+
+impl From<StoredRuns> for FailedRuns {
+    fn from(stored: StoredRuns) -> Self {
+        let StoredRuns { distances, older, floor } = stored;
+        let numbers = distances.into_iter().scan(floor, |number, distance| {
+            *number = number.saturating_add(distance);
+            Some(*number)
+        });
+        Self { numbers: numbers.collect(), older, floor }
+    }
+}
+
+/// Size of a number in a record, in bytes.
+const fn varint_bytes(number: u32) -> u32 {
+    match u32::BITS - number.leading_zeros() {
+        0 => 1,
+        bits => bits.div_ceil(7),
+    }
+}
+
+/// Stored form of a task. The failed runs have a bit each, by their number modulo 64; releases that know no other form read it.
+#[derive(Deserialize, Serialize)]
+struct StoredTask<S, C> {
+    state: S,
+    run: u32,
+    failed: u64,
+    checkpoint: C,
+}
+
+impl Serialize for Task {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let numbers = self.failed.iter().flat_map(|failed| &failed.numbers);
+        let failed = numbers.fold(0, |bits, number| bits | 1_u64 << (number % u64::BITS));
+        let (state, checkpoint) = (&self.state, &self.checkpoint);
+        StoredTask { state, run: self.run, failed, checkpoint }.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Task {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        StoredTask::deserialize(deserializer).map(Self::from)
+    }
+}
+
+impl From<StoredTask<TaskState, String>> for Task {
+    /// Takes each bit for the highest number that it can stand for.
+    fn from(stored: StoredTask<TaskState, String>) -> Self {
+        let StoredTask { state, run, failed, checkpoint } = stored;
+        let mut task = Self { state, run, failed: None, checkpoint };
+        let lowest = run.saturating_sub(u64::BITS - 1);
+        for number in (lowest..=run).filter(|number| failed & 1_u64 << (number % u64::BITS) != 0) {
+            task.record_failure(number);
+        }
+        task
+    }
+}
+
 /// Occurrence of a job: one run through its steps.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Occurrence {
--- a/crates/jobs/tests/repeated.rs
+++ b/crates/jobs/tests/repeated.rs
@@ -266,7 +266,7 @@
         let place = Placement { worker: "w".repeat(255), started_ms: u64::MAX };
         task.state = TaskState::Placed(place);
         task.run = u32::MAX;
-        (0..64).for_each(|run| assert!(task.record_failure(run)));
+        (0..64).for_each(|run| assert!(task.record_failure(u32::MAX - 64 + run)));
         task.checkpoint = "c".repeat(options.checkpoint_bytes);
     }
     let largest = progress.parts(&submission).map(|(part, tasks)| record::part(part, tasks).size()).max();
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -99,6 +99,8 @@
     pub(crate) failing: bool,
     /// It carries out starts, but their answers are lost.
     pub(crate) drops_answers: bool,
+    /// It refuses starts, since it is unhealthy.
+    pub(crate) refuses: bool,
 }
 
 /// What is wrong with the interface to the machines.
@@ -467,6 +469,7 @@
             slowness: 1,
             failing: false,
             drops_answers: false,
+            refuses: false,
         };
         self.workers.insert(id, worker);
     }
@@ -1012,6 +1015,9 @@
             return Outcome::Fenced;
         }
         worker.token = start.token;
+        if worker.refuses {
+            return Outcome::Unhealthy;
+        }
         if start.deadline_ms <= worker.clock(now) {
             return Outcome::Late;
         }
