Don't take a stored placement for a start after a takeover

A placement is stored before its start is sent; it counted each job with a placed task as started, since callers may have been shown so.

A job counts as started once a worker shows a run of it, or if the published states say that callers were shown so. No write is added.

--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -400,12 +400,11 @@
                 status.running.iter().find(|listed| listed.task == *task && listed.run == run.number);
             match listed {
                 Some(listed) => {
-                    run.listed = true;
-                    run.listed_at = now;
-                    if run.confirmed.is_none() {
-                        run.confirmed = Some(now);
+                    if !std::mem::replace(&mut run.listed, true) {
                         begun.push(task.job);
                     }
+                    run.listed_at = now;
+                    run.confirmed.get_or_insert(now);
                     run.unlisted_polls = 0;
                     run.unanswered = 0;
                     if run.progress != listed.progress {
--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -1,5 +1,8 @@
 //! Takeover by a new owner: placed tasks count as running until their worker shows otherwise.
 //!
+//! A placement is stored before its start is sent, so it doesn't prove that a worker has taken the task. A job counts as started
+//! once a worker shows it, or if callers were shown so.
+//!
 //! A worker that answers a poll under the new epoch refuses all orders of former owners, so a run that it
 //! does not list then will never start. A worker that does not answer may have the runs that were placed on
 //! it until the longest lease that the former owner can have granted has expired.
@@ -35,12 +38,7 @@
     /// Takes over the placed tasks of a job.
     pub(super) fn adopt_job(&mut self, now: u64, id: JobId) {
         self.stored_parts.adopt(id, &self.table.add_parts(id));
-        let placed = self.placed_tasks(id);
-        // The former owner may have shown callers that one of them has started.
-        if !placed.is_empty() {
-            self.mark_started(id);
-        }
-        for (task, row) in placed {
+        for (task, row) in self.placed_tasks(id) {
             let TaskState::Placed(place) = row.state.clone() else { continue };
             let key = self.worker_for(now, &place);
             self.adopt_run(now, key, task, &row);
--- a/crates/jobs/src/node/claim.rs
+++ b/crates/jobs/src/node/claim.rs
@@ -106,6 +106,7 @@
         if !state.is_standby() {
             return;
         }
+        state.keep_started();
         let Role::Standby(mut table) = std::mem::take(&mut state.role) else { return };
         let epoch = owner.epoch;
         table.owner = owner;
--- a/crates/jobs/src/node/state.rs
+++ b/crates/jobs/src/node/state.rs
@@ -162,6 +162,19 @@
         matches!(self.role, Role::Owner(_))
     }
 
+    /// Keeps the jobs of the table visible as started that the summaries show so.
+    pub(super) fn keep_started(&mut self) {
+        let table = match &mut self.role {
+            Role::Reader => return,
+            Role::Standby(table) => &mut **table,
+            Role::Owner(dispatcher) => &mut dispatcher.table,
+        };
+        let shown = |id: &JobId| self.summaries.get(*id) == Some(JobState::Running);
+        for id in table.ids().filter(shown).collect::<Vec<_>>() {
+            table.keep_started(id);
+        }
+    }
+
     /// True if this node has loaded the job table and the configuration, so that it may be the owner.
     pub(super) const fn may_own(&self) -> bool {
         self.catalog.is_some() && !matches!(self.role, Role::Reader)
--- a/crates/jobs/src/node/summaries.rs
+++ b/crates/jobs/src/node/summaries.rs
@@ -175,6 +175,7 @@
         // A job that the former owner published is in the intake, but may not have been read here yet.
         self.catch_up_intake().await?;
         let mut state = self.state.borrow_mut();
+        state.keep_started();
         let published: Vec<JobId> = state.summaries.ids().collect();
         let held: Vec<JobId> = state.table().into_iter().flat_map(Table::ids).collect();
         state.unpublished.extend(published);
--- a/crates/jobs/src/table/mod.rs
+++ b/crates/jobs/src/table/mod.rs
@@ -133,6 +133,13 @@
         self.jobs.values()
     }
 
+    /// Keeps a job visible as started that callers were shown so.
+    pub fn keep_started(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.mark_started();
+        }
+    }
+
     /// Applies a record of the intake. Returns the job if it is new or newly cancelled.
     pub fn apply_intake(&mut self, intake: Intake) -> Option<JobId> {
         match intake {
--- a/crates/jobs/tests/node.rs
+++ b/crates/jobs/tests/node.rs
@@ -275,6 +275,31 @@
     .await;
 }
 
+/// Guards against a node that shows a job as pending that callers of another one were shown as running, around the end of an owner. No
+/// worker shows the new owner what it runs.
+#[tokio::test(start_paused = true)]
+async fn no_node_takes_back_that_a_job_has_started() {
+    Cluster::run(3, |cluster| async move {
+        assert!(matches!(cluster.call(0, submit(1, 4)).await, Answer::Accepted(_)));
+        cluster.run_for(400).await;
+        let owner = cluster.owner();
+        let others = [(owner + 1) % 3, (owner + 2) % 3];
+        for node in others {
+            assert_eq!(cluster.call(node, read(1)).await, Answer::State(JobState::Running));
+        }
+        cluster.hang_workers();
+        cluster.kill(owner);
+        for _ in 0..600 {
+            cluster.run_for(10).await;
+            for node in others {
+                let answer = cluster.call(node, read(1)).await;
+                assert_ne!(answer, Answer::State(JobState::Queued), "node {node}");
+            }
+        }
+    })
+    .await;
+}
+
 /// After a crash of all processes, ownership was not claimed until the group dropped the former owner, although the new
 /// process of that instance proved that it had ended.
 #[tokio::test(start_paused = true)]
--- a/crates/jobs/tests/platform/cluster.rs
+++ b/crates/jobs/tests/platform/cluster.rs
@@ -152,6 +152,11 @@
         self.shared.borrow_mut().task_stagger = by;
     }
 
+    /// Has the workers leave all calls unanswered.
+    pub(crate) fn hang_workers(&self) {
+        self.shared.borrow_mut().workers_hang = true;
+    }
+
     /// Appends jobs to the intake, as an entry instance does for calls.
     pub(crate) fn accept(&self, jobs: impl IntoIterator<Item = Submission>) {
         let entries = jobs.into_iter().map(|job| record::submitted(&job));
--- a/crates/jobs/tests/platform/store.rs
+++ b/crates/jobs/tests/platform/store.rs
@@ -131,6 +131,8 @@
     pub(super) workers: BTreeMap<String, Worker>,
     /// Each task of a step runs this much longer than the task with the next lower index.
     pub(super) task_stagger: Duration,
+    /// True while no worker answers.
+    pub(super) workers_hang: bool,
     pub(super) starts: usize,
     pub(super) duplicate_starts: usize,
     /// Delays of the answers to the next orders for upkeep; none if there is no answer.
--- a/crates/jobs/tests/platform/workers.rs
+++ b/crates/jobs/tests/platform/workers.rs
@@ -37,6 +37,9 @@
             sleep(Duration::from_millis(2)).await;
             let clock = self.clock();
             let mut shared = self.shared.borrow_mut();
+            if shared.workers_hang {
+                return Err(Outcome::TimedOut);
+            }
             shared.fail_at(Defect::Poll);
             let worker = shared.workers.get_mut(&poll.target.worker).ok_or(Outcome::Unsent)?;
             if poll.token < worker.token {
@@ -69,6 +72,9 @@
         self.hang_if_killed().await;
         sleep(Duration::from_millis(1)).await;
         let mut shared = self.shared.borrow_mut();
+        if shared.workers_hang {
+            return Outcome::TimedOut;
+        }
         let length = Duration::from_millis(TASK_MS) + shared.task_stagger * u32::from(start.task.index);
         let runs = shared.workers.values().filter(|worker| worker.runs.contains_key(&start.task)).count();
         let Some(worker) = shared.workers.get_mut(&start.target.worker) else { return Outcome::Unsent };
@@ -90,6 +96,9 @@
         self.hang_if_killed().await;
         sleep(Duration::from_millis(1)).await;
         let mut shared = self.shared.borrow_mut();
+        if shared.workers_hang {
+            return Outcome::TimedOut;
+        }
         let Some(worker) = shared.workers.get_mut(&stop.target.worker) else { return Outcome::Unsent };
         if worker.runs.remove(&stop.task).is_some() {
             worker.end(stop.task, stop.run, EndReason::Stopped);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -148,6 +148,35 @@
     }
 }
 
+/// Guards against jobs that a new owner shows as running, and leaves out of the pending ones, since a task was placed on a worker that
+/// never took it.
+#[test]
+fn a_job_that_was_placed_and_not_taken_is_pending_after_a_takeover() {
+    let mut world = World::new(2);
+    world.run_for(500);
+    world.workers.values_mut().for_each(|worker| worker.partitioned = true);
+    world.submit(job(1, vec![step(2, cores(1), 300)]));
+    world.run_for(300);
+    world.take_over();
+    world.run_for(3_000);
+    assert_eq!(world.starts.len(), 0);
+    assert_eq!(world.state(1), Some(JobState::Queued));
+    world.workers.values_mut().for_each(|worker| worker.partitioned = false);
+    world.run_for(9_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// Guards against a job that a new owner shows as pending although its worker runs a task of it.
+#[test]
+fn a_job_whose_worker_lists_a_run_is_running_after_a_takeover() {
+    let mut world = World::new(2);
+    world.submit(job(1, vec![step(2, cores(1), 3_000)]));
+    world.run_for(500);
+    world.take_over();
+    world.run_for(300);
+    assert_eq!(world.state(1), Some(JobState::Running));
+}
+
 #[test]
 fn a_cancellation_that_the_former_owner_did_not_act_on_is_carried_out() {
     let mut world = World::new(1);
