Give the tasks of repeated jobs a budget of memory

The bound of 100,000 begun tasks was one of each job, and nothing bounded the sum.

The tasks in occurrences that have begun share an eighth of memory_mb; a job takes at most half of what the others leave of it, and one occurrence of each may always begin. A new owner counts them before it begins more. A job that has ended keeps only occurrences with placed tasks. A gauge and a log line show the budget.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -28,7 +28,9 @@
 use names::{Names, PoolKey, TeamKey};
 use options::Options;
 use parts::StoredParts;
-use systems::{Durations, Fleet, GangCheckpoints, Losses, PolicyTickets, StaleJobs, Stragglers, Track};
+use systems::{
+    BegunTasks, Durations, Fleet, GangCheckpoints, Losses, PolicyTickets, StaleJobs, Stragglers, Track,
+};
 pub use systems::{Exclusions, PoolLoad, WaveProgress};
 use worker::{Moment, PollState, Worker, WorkerKey};
 
@@ -189,6 +191,7 @@
     durations: Durations,
     stragglers: Stragglers,
     gang_checkpoints: GangCheckpoints,
+    begun_work: BegunTasks,
     policy_tickets: PolicyTickets,
     fleet: Fleet,
     /// Counters since this owner started.
@@ -262,6 +265,7 @@
             durations: Durations::default(),
             stragglers: Stragglers::default(),
             gang_checkpoints: GangCheckpoints::default(),
+            begun_work: BegunTasks::default(),
             policy_tickets: PolicyTickets::default(),
             fleet: Fleet::default(),
             counters: Counters::default(),
--- a/crates/jobs/src/dispatch/options/mod.rs
+++ b/crates/jobs/src/dispatch/options/mod.rs
@@ -8,6 +8,11 @@
 /// most 255 bytes.
 const MAX_TASK_BYTES: usize = 344;
 
+/// Part of the memory of a process that tasks of repeated jobs may take.
+const BEGUN_DIVISOR: u64 = 8;
+/// Memory that a task takes at a holder, in bytes: twice its size in the table, since a new owner reads its part beside it.
+const TASK_MEMORY_BYTES: u64 = 160;
+
 /// Options of a dispatcher.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Options {
@@ -44,6 +49,8 @@
     pub whole_bytes: usize,
     /// Longest checkpoint that is stored, in bytes.
     pub checkpoint_bytes: usize,
+    /// Number of tasks of repeated jobs in occurrences that have begun from which no job begins a second one.
+    pub begun_tasks: u64,
 }
 
 impl Default for Options {
@@ -66,8 +73,10 @@
             list_busy_ms: 300,
             whole_bytes: 0,
             checkpoint_bytes: 0,
+            begun_tasks: 0,
         }
         .with_record_bytes(256 << 10)
+        .with_memory_bytes(256 << 20)
     }
 }
 
@@ -80,4 +89,11 @@
         self.checkpoint_bytes = (bytes / PART_TASKS).saturating_sub(MAX_TASK_BYTES);
         self
     }
+
+    /// Sets the number of tasks that may have begun for a process with this much memory, in bytes.
+    #[must_use]
+    pub const fn with_memory_bytes(mut self, bytes: u64) -> Self {
+        self.begun_tasks = bytes / BEGUN_DIVISOR / TASK_MEMORY_BYTES;
+        self
+    }
 }
--- a/crates/jobs/src/dispatch/systems/backlog.rs
+++ b/crates/jobs/src/dispatch/systems/backlog.rs
@@ -108,11 +108,11 @@
         backlog
     }
 
-    /// True if another occurrence with this many tasks may begin. While each step that depends on no other has waiting
-    /// tasks, many more of them can't be placed either.
-    pub(super) const fn admits(&self, tasks: u64) -> bool {
+    /// True if another occurrence with this many tasks may begin, for a job that may have `most` of them. While each step that
+    /// depends on no other has waiting tasks, many more of them can't be placed either. One occurrence may always begin.
+    pub(super) fn admits(&self, tasks: u64, most: u64) -> bool {
         let useful = self.exhausted || self.waiting < MAX_WAITING_TASKS;
-        useful && (self.begun == 0 || self.begun + tasks <= MAX_BEGUN_TASKS)
+        useful && (self.begun == 0 || self.begun + tasks <= most.min(MAX_BEGUN_TASKS))
     }
 
     /// Counts an occurrence whose tasks all wait.
@@ -157,7 +157,53 @@
     }
 }
 
+/// Tasks of all repeated jobs in occurrences that have begun. They take memory at the owner and at each holder for as long as they
+/// can't be done.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in super::super) struct BegunTasks {
+    total: u64,
+    /// True while occurrences wait that would begin if other jobs had fewer tasks.
+    exceeded: bool,
+}
+
+impl BegunTasks {
+    /// Number of tasks.
+    pub(in super::super) const fn total(self) -> u64 {
+        self.total
+    }
+
+    pub(super) const fn add(&mut self, tasks: u64) {
+        self.total = self.total.saturating_add(tasks);
+    }
+
+    pub(super) const fn remove(&mut self, tasks: u64) {
+        self.total = self.total.saturating_sub(tasks);
+    }
+
+    /// Number of tasks that a job with `own` ones may have: half of what the others leave of the budget, so that no job uses up
+    /// what the next one needs.
+    pub(super) const fn share(self, own: u64, budget: u64) -> u64 {
+        budget.saturating_sub(self.total.saturating_sub(own)) / 2
+    }
+
+    /// Records whether occurrences wait for the budget, and logs a change.
+    pub(super) fn set_exceeded(&mut self, exceeded: bool, budget: u64) {
+        if std::mem::replace(&mut self.exceeded, exceeded) != exceeded {
+            log::info!(
+                exceeded = exceeded, begun = self.total, budget = budget;
+                "whether occurrences wait for the memory of others has changed"
+            );
+        }
+    }
+}
+
 impl Dispatcher {
+    /// Tasks of repeated jobs in occurrences that have begun, and their budget.
+    #[must_use]
+    pub const fn begun_tasks(&self) -> (u64, u64) {
+        (self.begun_work.total(), self.options.begun_tasks)
+    }
+
     /// Records that a job changed: its progress is written, and its backlog computed again.
     pub(super) fn touch(&mut self, id: JobId) {
         self.dirty_jobs.insert(id);
@@ -174,8 +220,13 @@
         for id in std::mem::take(&mut self.stale_jobs.0) {
             let (Some(job), Some(track)) = (self.table.get(id), self.tracks.get_mut(&id)) else { continue };
             let active = job.progress.phase == Phase::Active && !job.canceled;
-            track.backlog =
+            let backlog =
                 if active { Backlog::of(&job.submission, &job.progress) } else { Backlog::default() };
+            if job.submission.schedule.is_some() {
+                self.begun_work.remove(track.backlog.begun);
+                self.begun_work.add(backlog.begun);
+            }
+            track.backlog = backlog;
         }
     }
 
--- a/crates/jobs/src/dispatch/systems/jobs.rs
+++ b/crates/jobs/src/dispatch/systems/jobs.rs
@@ -64,6 +64,10 @@
         if self.scheduled.is_empty() {
             return;
         }
+        // A new owner knows no backlog yet.
+        self.refresh_backlogs();
+        let budget = self.options.begun_tasks;
+        let mut exceeded = false;
         for id in std::mem::take(&mut self.scheduled) {
             let (Some(job), Some(track)) = (self.table.get_mut(id), self.tracks.get_mut(&id)) else {
                 continue;
@@ -80,7 +84,9 @@
                 if number >= schedule.times || schedule.due_ms(number) > unix {
                     break;
                 }
-                if !backlog.admits(tasks) {
+                let share = self.begun_work.share(backlog.begun, budget);
+                if !backlog.admits(tasks, share) {
+                    exceeded |= backlog.admits(tasks, u64::MAX);
                     if !std::mem::replace(&mut track.wait_logged, true) {
                         log::info!(
                             job:% = id, occurrence = number, waiting = backlog.waiting, begun = backlog.begun;
@@ -92,7 +98,9 @@
                 job.progress.occurrences.push(Occurrence::new(number, &job.submission));
                 job.progress.begun += 1;
                 backlog.add_new_occurrence(tasks);
+                self.begun_work.add(tasks);
             }
+            track.backlog.begun = backlog.begun;
             let begun = job.progress.begun;
             if begun < schedule.times {
                 self.scheduled.insert(id);
@@ -102,6 +110,7 @@
                 self.unchanged = false;
             }
         }
+        self.begun_work.set_exceeded(exceeded, budget);
     }
 
     /// Removes ended jobs whose retention is over, and cancellations without a job.
--- a/crates/jobs/src/dispatch/systems/mod.rs
+++ b/crates/jobs/src/dispatch/systems/mod.rs
@@ -18,7 +18,7 @@
 mod throttling;
 mod views;
 
-pub(super) use backlog::{StaleJobs, Track};
+pub(super) use backlog::{BegunTasks, StaleJobs, Track};
 pub(super) use checkpoints::GangCheckpoints;
 pub(super) use durations::Durations;
 pub(super) use fleet::Fleet;
--- a/crates/jobs/src/dispatch/systems/runs.rs
+++ b/crates/jobs/src/dispatch/systems/runs.rs
@@ -8,7 +8,7 @@
 use crate::DECISIONS;
 use crate::ids::{JobId, TaskId};
 use crate::spec::{Submission, Terms};
-use crate::table::{Phase, TaskState};
+use crate::table::{Phase, Task, TaskState};
 
 impl Dispatcher {
     /// Terms that apply to a job: those of its queue, or those under which it was accepted if the queue no
@@ -262,6 +262,9 @@
             return;
         }
         job.progress.phase = phase;
+        // Only placed tasks matter from now on.
+        job.progress.occurrences.retain(|occurrence| occurrence.tasks.iter().any(Task::placed));
+        let scheduled = job.submission.schedule.is_some();
         self.touch(id);
         match phase {
             Phase::Completed => self.counters.completed += 1,
@@ -269,6 +272,9 @@
             Phase::Active | Phase::Canceled => {}
         }
         let track = self.tracks.remove(&id);
+        if let Some(track) = track.filter(|_| scheduled) {
+            self.begun_work.remove(track.backlog.begun);
+        }
         let late_ms = track.map_or(0, |track| now.saturating_sub(track.objective));
         if let Some(usage) = track.and_then(|track| self.team_usage.get_mut(track.team?)) {
             usage.jobs = usage.jobs.saturating_sub(1);
--- a/crates/jobs/src/metrics/mod.rs
+++ b/crates/jobs/src/metrics/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use thiserror::Error;
@@ -40,6 +40,7 @@
     bytes: Counter<u64>,
     forwards: Counter<u64>,
     panics: Counter<u64>,
+    begun: Gauge<u64>,
     answered: Histogram<f64>,
     stored: Histogram<f64>,
     late: Histogram<f64>,
@@ -67,6 +68,11 @@
             ownership: counter(&meter, "ownership", "Claims and losses of ownership, by reason"),
             failures: counter(&meter, "store_failures", "Failed calls to the store, by topic and cause"),
             panics: counter(&meter, "task_failures", "Tasks of the instance that failed, by task"),
+            begun: gauge(
+                &meter,
+                "begun_tasks",
+                "Tasks of repeated jobs in occurrences that have begun, at the owner, and their budget",
+            ),
             bytes: counter(&meter, "store_bytes", "Bytes read from the store, by topic"),
             forwards: counter(&meter, "forwards", "Calls that forward records, by direction and outcome"),
             answered: histogram(&meter, "answer_milliseconds", "Time from a call to its answer"),
@@ -161,6 +167,12 @@
         }
     }
 
+    /// Records the tasks of repeated jobs in occurrences that have begun, and their budget.
+    pub fn begun(&self, tasks: u64, budget: u64) {
+        self.begun.record(tasks, &[KeyValue::new("kind", "begun")]);
+        self.begun.record(budget, &[KeyValue::new("kind", "budget")]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -177,6 +189,10 @@
     meter.u64_counter(name).with_description(help).build()
 }
 
+fn gauge(meter: &Meter, name: &'static str, help: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(help).build()
+}
+
 fn histogram(meter: &Meter, name: &'static str, help: &'static str) -> Histogram<f64> {
     meter.f64_histogram(name).with_description(help).with_boundaries(BOUNDS_MS.to_vec()).build()
 }
--- a/crates/jobs/src/node/load.rs
+++ b/crates/jobs/src/node/load.rs
@@ -51,11 +51,11 @@
         self.commands += commands as u64;
     }
 
-    /// Logs the sums if a line is due, and starts anew.
-    pub(super) fn log(&mut self, counters: Counters) {
+    /// Logs the sums if a line is due, and starts anew. False if none is due.
+    pub(super) fn log(&mut self, counters: Counters) -> bool {
         let elapsed = self.since.elapsed();
         if elapsed < LOG_INTERVAL {
-            return;
+            return false;
         }
         let logged = self.logged;
         log::info!(
@@ -68,6 +68,7 @@
             "load of the owner"
         );
         *self = Self::new(counters);
+        true
     }
 }
 
--- a/crates/jobs/src/node/owner.rs
+++ b/crates/jobs/src/node/owner.rs
@@ -73,7 +73,11 @@
                 decided
             };
             load.add(begun, write.as_ref(), commands.len());
-            load.log(counted.1);
+            if load.log(counted.1)
+                && let Some((tasks, budget)) = self.begun_tasks()
+            {
+                self.handle.meters.begun(tasks, budget);
+            }
             if fenced {
                 self.step_down("a worker or the store knows a newer owner");
                 continue;
@@ -109,6 +113,10 @@
         since.get_or_insert_with(Instant::now).elapsed() > INTAKE_OUTAGE_LIMIT
     }
 
+    fn begun_tasks(&self) -> Option<(u64, u64)> {
+        self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.begun_tasks())
+    }
+
     /// Epoch of this node's ownership; none if it is not the owner.
     pub(super) fn epoch(&self) -> Option<u64> {
         self.state.borrow_mut().dispatcher().map(|dispatcher| dispatcher.epoch())
--- a/crates/jobs/tests/repeated.rs
+++ b/crates/jobs/tests/repeated.rs
@@ -69,6 +69,51 @@
     assert_eq!(world.starts.len(), 2 * times as usize);
 }
 
+/// Tasks of all jobs in occurrences that have begun.
+fn begun_tasks(world: &World) -> usize {
+    let jobs = world.dispatcher.table.jobs();
+    jobs.flat_map(|job| &job.progress.occurrences).map(|occurrence| occurrence.tasks.len()).sum()
+}
+
+/// Guards against repeated jobs that can't be done and use up the memory of all holders together, and against such jobs that keep others
+/// from beginning.
+#[rstest]
+#[case::one_owner(false)]
+#[case::owners_in_turn(true)]
+fn jobs_that_cannot_be_done_share_the_memory(#[case] takeovers: bool) {
+    let mut world = World::new(3);
+    let budget = 10_000;
+    world.set_options(Options { begun_tasks: budget, ..Options::default() });
+    world.run_for(500);
+    let tasks = 101;
+    for id in 1..=40 {
+        let never = Step { label: Some("none".into()), after: vec![0], ..step(100, cores(1), 300) };
+        world.submit(repeated(&world, id, vec![step(1, cores(1), 20), never], 100, 200));
+        world.run_for(500);
+        if takeovers && id % 10 == 0 {
+            world.take_over();
+        }
+    }
+    // Each job has one occurrence, whatever the others have.
+    let most = usize::try_from(budget).expect("it is small") + 40 * tasks;
+    world.submit(repeated(&world, 100, vec![step(4, cores(1), 300)], 400, 20));
+    world.submit(job(101, vec![step(4, cores(1), 300)]));
+    world.run_for(20_000);
+    assert!(begun_tasks(&world) <= most, "{} tasks", begun_tasks(&world));
+    for id in 1..=40 {
+        assert!(world.dispatcher.table.get(JobId(id)).is_some_and(|job| job.progress.begun > 0), "job {id}");
+    }
+    assert_eq!(world.state(100), Some(JobState::Completed));
+    assert_eq!(world.state(101), Some(JobState::Completed));
+    let before = begun_tasks(&world);
+    (1..=39).for_each(|id| world.cancel(id));
+    world.run_for(20_000);
+    assert!(begun_tasks(&world) < before);
+    let left = world.dispatcher.table.get(JobId(40)).map(|job| job.progress.occurrences.len());
+    assert!(left.is_some_and(|count| count > 40), "{left:?} occurrences of the last job have begun");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against occurrences that begin one after the other although the pool has room for several.
 #[test]
 fn occurrences_run_side_by_side_while_there_is_room() {
