Count the runs of ended jobs for their team after a takeover

A new owner knew a team by its active jobs only, so the runs of a job that had been cancelled, on a worker that is cut off, counted for no team and the team could pass its upper limit (QUOTA). The team of each job is known before its runs are adopted.

runs_of_an_ended_job_count_for_their_team_after_a_takeover failed before: 8 tasks ran where 4 are allowed.

--- a/crates/jobs/src/dispatch/systems/takeover.rs
+++ b/crates/jobs/src/dispatch/systems/takeover.rs
@@ -115,17 +115,19 @@
         let age = u64::try_from(age).unwrap_or(0).min(super::jobs::MAX_AGE_MS);
         let stretched = job.submission.chain_ms().saturating_mul(terms.stretch_percent) / 100;
         let length = stretched.saturating_add(terms.target_ms);
-        if job.progress.phase != Phase::Active {
+        // Also for a job that has ended, since its runs count until they have.
+        let team = job.submission.team.as_deref().map(|team| self.teams.intern(team));
+        let active = job.progress.phase == Phase::Active;
+        if let Some(usage) = team.and_then(|team| self.team_usage.entry(team)) {
+            usage.or_default().jobs += u64::from(active);
+        }
+        if !active {
             self.ended.push_back((now, id));
             return;
         }
         if job.submission.schedule.is_some() {
             self.scheduled.insert(id);
         }
-        let team = job.submission.team.as_deref().map(|team| self.teams.intern(team));
-        if let Some(usage) = team.and_then(|team| self.team_usage.entry(team)) {
-            usage.or_default().jobs += 1;
-        }
         let track = Track {
             objective: now.saturating_add(length).saturating_sub(age),
             failure_counted: false,
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -92,6 +92,29 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
 
+/// Guards against a team that passes its limit after a takeover, since the runs of its ended job on a worker that is cut off count for no
+/// team.
+#[test]
+fn runs_of_an_ended_job_count_for_their_team_after_a_takeover() {
+    let mut catalog = catalog();
+    catalog.teams = vec![team("moss", Resources { cpu: 4_000, memory: 0, accelerators: 0 })];
+    let mut world = World::with(catalog, &[("red", 6)]);
+    world.run_for(500);
+    world.submit(job(1, vec![step(4, cores(1), 30_000)]));
+    world.run_for(1_000);
+    assert_eq!(world.running().len(), 4);
+    world.workers.values_mut().for_each(|worker| worker.partitioned = !worker.runs.is_empty());
+    world.cancel(1);
+    world.run_for(200);
+    world.take_over();
+    world.submit(job(2, vec![step(4, cores(1), 500)]));
+    for _ in 0..1_500 {
+        world.round();
+        assert!(world.running().len() <= 4, "{} tasks run at {}", world.running().len(), world.now);
+    }
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
+
 /// Guards against a start that is repeated although its team's limit has been lowered below what the team uses.
 #[test]
 fn a_start_without_an_answer_is_not_repeated_beyond_a_lowered_limit() {
