Withdraw a gang of which a member may not start

A lowered limit, a draining worker or an evacuation between the placing of a gang and its starts took back some members only; the others started and would have ended alone (GANG). A member whose start may not be sent takes back the others, and the gang is placed again as a whole.

a_gang_of_which_a_member_may_not_start_waits_as_a_whole failed before in both cases.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -43,16 +43,23 @@
         let step = job.submission.steps.get(usize::from(task.step));
         let Some(worker) = self.workers.get(key) else { return };
         let suits = step.is_some_and(|step| worker.suits(step));
+        let gang = step.is_some_and(|step| step.gang);
+        // The members' starts go out in the order of their numbers.
+        let gang_closed = gang && task.index == 0 && self.has_closed_member(task);
         // The limit may have been lowered since the task was placed.
         let over = !self.within_limit(task, Resources::default());
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let closed = over || worker.record.draining || self.evacuated.contains(&worker.record.zone);
+        let closed =
+            over || gang_closed || worker.record.draining || self.evacuated.contains(&worker.record.zone);
         let clock = worker.clock_at(at);
         let target = target(worker);
         let Some(run) = worker.runs.get_mut(&task).filter(|run| !run.stopping) else { return };
         if closed && !run.sent {
             let why = if over { "its team is over its limit" } else { "the worker takes no new tasks" };
             self.requeue(now, key, task, Evidence::new(why, now));
+            if gang {
+                self.withdraw_gang(now, task);
+            }
             return;
         }
         if closed && run.confirmed.is_some() {
@@ -92,6 +99,29 @@
         self.commands.push(Command::Start(start));
     }
 
+    /// True if the worker of a member whose start was not sent takes no new tasks.
+    fn has_closed_member(&self, member: TaskId) -> bool {
+        let closed = |(task, key): (TaskId, WorkerKey)| {
+            self.workers.get(key).is_some_and(|worker| {
+                let unsent = worker.runs.get(&task).is_some_and(|run| !run.sent);
+                unsent && (worker.record.draining || self.evacuated.contains(&worker.record.zone))
+            })
+        };
+        self.gang_runs(member).any(closed)
+    }
+
+    /// Runs of all members of a gang, with their workers.
+    fn gang_runs(&self, member: TaskId) -> impl Iterator<Item = (TaskId, WorkerKey)> {
+        self.placed_runs(TaskId { index: 0, ..member }, TaskId { index: u16::MAX, ..member })
+    }
+
+    /// Takes back the starts of a gang's members, one of which doesn't start: the others would wait for it in vain.
+    fn withdraw_gang(&mut self, now: u64, member: TaskId) {
+        for (task, key) in self.gang_runs(member).collect::<Vec<_>>() {
+            self.stop_run(now, key, task);
+        }
+    }
+
     /// Sends the starts that are stored and waited for an answer of their worker.
     pub(super) fn send_stored_starts(&mut self, now: u64, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -2,13 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
+
+use rattanfall_jobs::catalog::Catalog;
+use rattanfall_jobs::dispatch::event::WorkerRecord;
 use rattanfall_jobs::dispatch::options::Options;
-use rattanfall_jobs::ids::JobId;
+use rattanfall_jobs::ids::{JobId, TaskId};
 use rattanfall_jobs::record::{self, Change, read_change};
-use rattanfall_jobs::spec::Step;
+use rattanfall_jobs::spec::{Resources, Step};
 use rattanfall_jobs::table::{JobState, TaskState};
 use rstest::rstest;
-use support::{World, cores, job, step, task};
+use support::{World, catalog, cores, job, step, task, team};
 
 /// Members of the gang.
 const MEMBERS: u16 = 3;
@@ -150,6 +154,38 @@
     complete(&mut world);
 }
 
+/// Guards against members that start without the others, since what allows them changes after they were placed.
+#[rstest]
+#[case::lower_limit(true)]
+#[case::draining_worker(false)]
+fn a_gang_of_which_a_member_may_not_start_waits_as_a_whole(#[case] limited: bool) {
+    let limit = |version, cpu| Catalog {
+        version,
+        teams: vec![team("moss", Resources { cpu, memory: 0, accelerators: 0 })],
+        pools: catalog().pools.into_iter().filter(|pool| pool.name == "red").collect(),
+        ..catalog()
+    };
+    let mut world = World::with(limit(1, 8_000), &[("red", 6)]);
+    world.run_for(500);
+    world.down = true;
+    world.submit(job(1, vec![Step { gang: true, spread: Some(1), ..step(4, cores(2), 500) }]));
+    world.run_for(200);
+    if limited {
+        world.dispatcher.set_catalog(Arc::new(limit(2, 6_000)));
+    } else {
+        let placed = world.dispatcher.workers().filter(|worker| !worker.runs.is_empty());
+        let record = placed.last().expect("a member is placed").record.clone();
+        world.workers.get_mut(&record.worker).expect("it is up").record.draining = true;
+        world.dispatcher.update_worker(world.now, WorkerRecord { draining: true, ..record });
+    }
+    world.down = false;
+    world.run_for(20);
+    let first: Vec<_> = world.starts.iter().filter(|(_, _, run, _)| *run == 1).collect();
+    assert_eq!(first, Vec::<&(u64, TaskId, u32, String)>::new(), "members start without the others");
+    world.dispatcher.set_catalog(Arc::new(limit(3, 8_000)));
+    complete(&mut world);
+}
+
 /// Guards against a gang that never works again after an upgrade, since an earlier release stored unequal checkpoints.
 #[test]
 fn a_gang_that_was_stored_with_unequal_checkpoints_works_again() {
