Poll a replaced worker at the usual interval

Since its runs are kept for a time after an answer 421, a worker was polled with each pass of the owner until they were removed. It is polled every 200 ms like one that doesn't answer. A worker that restarted begins anew with what lists and other workers said of it.

The bound on polls in a_task_of_a_worker_that_ends_after_its_address_was_given_away_runs_once failed before.

--- a/crates/jobs/src/dispatch/systems/orders.rs
+++ b/crates/jobs/src/dispatch/systems/orders.rs
@@ -305,13 +305,14 @@
         self.workers.get(key).is_some_and(current)
     }
 
-    /// Closes a worker of whose address another one has answered, and counts its runs as lost once that has been so for the longest
+    /// Closes a worker at whose address another one has answered, and counts its runs as lost once that has been so for the longest
     /// time of a stop. True if they are.
     pub(super) fn end_replaced(&mut self, now: u64, key: WorkerKey) -> bool {
         let stop_ms = self.options.stop_ms;
         let Some(worker) = self.workers.get_mut(key) else { return false };
         let Some(since) = worker.note_replaced(now, stop_ms) else {
-            worker.require_answer(now);
+            worker.missed_polls = worker.missed_polls.max(1);
+            worker.silent = true;
             self.requeue_unsent(now, key);
             return false;
         };
--- a/crates/jobs/src/dispatch/systems/polls.rs
+++ b/crates/jobs/src/dispatch/systems/polls.rs
@@ -115,6 +115,8 @@
         worker.heard = None;
         worker.poll_soon(now);
         worker.unknown_since = None;
+        worker.unnamed_since = None;
+        worker.replaced_since = None;
         worker.more_ended = false;
         worker.acknowledged = 0;
         worker.ack_sent = 0;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -141,11 +141,14 @@
     if stops {
         world.cancel(if first.job == JobId(1) { 2 } else { 1 });
     }
+    world.polls.clear();
     while world.starts.iter().filter(|(_, started, ..)| *started == first).count() < 2 {
         world.round();
         assert_eq!(world.running_twice(), []);
         assert!(world.now < given_away + 3_500, "the task has not started again");
     }
+    let polls = world.polls.iter().filter(|(_, poll)| poll.target.worker == worker).count();
+    assert!(polls <= 12, "{polls} polls of the address");
 }
 
 /// Guards against jobs that a new owner shows as running, and leaves out of the pending ones, since a task was placed on a worker that
